--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from lichenwinch.decide import Head
-from lichenwinch.interface import (
+from umberlead.core.decide import Head
+from umberlead.core.interface import (
     Action,
     Effect,
     Event,
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,8 +2,8 @@
 
 import numpy as np
 
-from lichenwinch.decide import EFFORT, FORGET, GOAL, Controller, Lane
-from lichenwinch.records import Item
+from umberlead.core.decide import EFFORT, FORGET, GOAL, Controller, Lane
+from umberlead.core.records import Item
 from tests.helpers import READ, T0, ask, end, feed, head, up
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lichenwinch import benchlink
+from umberlead import wirehost
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIG = (
@@ -23,7 +23,7 @@
 
 def talk(text: str) -> tuple[int, list[str]]:
     sink = io.StringIO()
-    code = benchlink.run(io.StringIO(text), sink)
+    code = wirehost.run(io.StringIO(text), sink)
     return code, sink.getvalue().splitlines()
 
 
@@ -79,7 +79,7 @@
     def fall(*_: object) -> None:
         raise RuntimeError("boom")
 
-    monkeypatch.setattr(benchlink.Head, "handle", fall)
+    monkeypatch.setattr(wirehost.Head, "handle", fall)
     code, lines = talk(START)
     assert code == 0 and lines == ["as head_0", "broken RuntimeError: boom", "ready 1"]
     assert "Traceback" in capsys.readouterr().err
@@ -96,9 +96,9 @@
 
 
 def test_decide_keeps_to_its_limits() -> None:
-    lines = (ROOT / "lichenwinch" / "decide.py").read_text().splitlines()
+    lines = (ROOT / "umberlead" / "core" / "decide.py").read_text().splitlines()
     assert sum(1 for x in lines if x.strip()) <= 400
     assert max(map(len, lines)) <= 110
     assert "interface.py" in lines[0]
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["policy"] == ["lichenwinch/decide.py"]
+    assert deploy["policy"] == ["umberlead/core/decide.py"]
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from lichenwinch.decide import Head
-from lichenwinch.interface import (
+from umberlead.core.decide import Head
+from umberlead.core.interface import (
     Action,
     Cancel,
     ClientGone,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lichenwinch.decide import Head
-from lichenwinch.interface import (
+from umberlead.core.decide import Head
+from umberlead.core.interface import (
     Cancel,
     ClientGone,
     Fail,
--- /dev/null
+++ b/umberlead/__init__.py
@@ -0,0 +1,1 @@
+"""umberlead: the decisions of an I/O scheduler for heads that share storage nodes."""
--- /dev/null
+++ b/umberlead/config.py
@@ -0,0 +1,434 @@
+"""The one place where configuration is read, checked and given defaults.
+
+Three sources: the platform's environment and JSON (`EDGE_*`), an operator's TOML file (`UMBERLEAD_CONFIG`),
+and the settings of the simulator's wire. All settings go through `settings_of`. What is wrong is a
+`ConfigError` that names the key."""
+
+import json
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from umberlead.core import interface as i
+
+Address = tuple[str, int]
+
+EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
+STATES = {"ready": i.NodeState.UP, "draining": i.NodeState.DRAINING, "gone": i.NodeState.GONE}
+
+
+class ConfigError(ValueError):
+    """`key` can't be used."""
+
+    def __init__(self, key: str, why: str) -> None:
+        super().__init__(f"{key}: {why}")
+        self.key = key
+
+
+class Keys:
+    """A mapping of dotted keys, each read once checked."""
+
+    def __init__(self, got: Mapping[str, Any], under: str = "") -> None:
+        self.got, self.under = got, under
+
+    def raw(self, key: str) -> Any:
+        value = self.got.get(key)
+        return None if value in (None, "-") else value
+
+    def name(self, key: str) -> str:
+        return f"{self.under}.{key}" if self.under else key
+
+    def wrong(self, key: str, why: str) -> ConfigError:
+        return ConfigError(self.name(key), why)
+
+    def num(self, key: str, default: float | None = None, low: float = 0.0, high: float = 1e18) -> float:
+        value = self.raw(key)
+        if value is None:
+            if default is None:
+                raise self.wrong(key, "is missing")
+            return default
+        try:
+            number = float(value)
+        except (TypeError, ValueError):
+            raise self.wrong(key, f"is no number: {value!r}") from None
+        if isinstance(value, bool) or not low <= number <= high:
+            raise self.wrong(key, f"must be a number from {low:g} to {high:g}, not {value!r}")
+        return number
+
+    def whole(self, key: str, default: int | None = None, low: int = 0, high: int = 1 << 62) -> int:
+        return int(self.num(key, default, low, high))
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.raw(key)
+        if value is None:
+            if default is None:
+                raise self.wrong(key, "is missing")
+            return default
+        if isinstance(value, dict | list):
+            raise self.wrong(key, "must be one value")
+        return str(value)
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        value = self.raw(key)
+        if value is None:
+            return default
+        if value in (True, "true", "1"):
+            return True
+        if value in (False, "false", "0"):
+            return False
+        raise self.wrong(key, f"must be true or false, not {value!r}")
+
+    def one_of(self, key: str, words: Mapping[str, Any], default: str) -> Any:
+        word = self.text(key, default)
+        if word not in words:
+            raise self.wrong(key, f"must be one of {', '.join(words)}, not {word!r}")
+        return words[word]
+
+    def table(self, key: str) -> "Keys":
+        value = self.raw(key)
+        if value is None:
+            return Keys({}, self.name(key))
+        if not isinstance(value, dict):
+            raise self.wrong(key, "must be a table")
+        return Keys(value, self.name(key))
+
+    def items(self, key: str) -> list[Any]:
+        value = self.raw(key)
+        if value is None:
+            return []
+        if not isinstance(value, list):
+            raise self.wrong(key, "must be a list")
+        return value
+
+    def address(self, key: str, default: str | None = None) -> Address:
+        return self.as_address(key, self.text(key, default))
+
+    def as_address(self, key: str, text: str) -> Address:
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+            raise self.wrong(key, f"must be host:port, not {text!r}")
+        return host.strip("[]"), int(port)
+
+
+def flat(value: Any, path: str = "") -> dict[str, Any]:
+    """Nested settings as the wire's dotted paths."""
+    if isinstance(value, dict):
+        found: dict[str, Any] = {}
+        for key, inner in value.items():
+            found |= flat(inner, f"{path}.{key}" if path else str(key))
+        return found
+    if isinstance(value, list) and any(isinstance(v, dict) for v in value):
+        found = {f"{path}.count": len(value)}
+        for k, inner in enumerate(value):
+            found |= flat(inner, f"{path}.{k}")
+        return found
+    if isinstance(value, list):
+        return {path: ",".join(str(v) for v in value)}
+    return {path: value}
+
+
+def settings_of(got: Mapping[str, Any]) -> i.Settings:
+    """The module's settings from path=value pairs; what is unknown is left alone."""
+    k = Keys(got, "settings")
+    classes = tuple(
+        i.RequestClass(
+            name=k.text(f"grades.{n}.name"),
+            aim=k.whole(f"grades.{n}.aim"),
+            deadline=k.whole(f"grades.{n}.hardLimit"),
+            effect=k.one_of(f"grades.{n}.effect", EFFECTS, "at_most_once"),
+            group=k.text(f"grades.{n}.group", "cell"),
+            memory=k.whole(f"grades.{n}.memorySpan", 0),
+            ordered=k.flag(f"grades.{n}.sequential"),
+            worth=k.num(f"grades.{n}.credit", 1),
+            late_worth=k.num(f"grades.{n}.lateWorth", 0),
+        )
+        for n in range(k.whole("grades.count", 0, 0, 1000))
+    )
+    plans = tuple(
+        i.Plan(
+            name=k.text(f"plans.{n}.name"),
+            weight=k.num(f"plans.{n}.weight", 1),
+            rate=k.num(f"plans.{n}.usualRate", 0),
+            reserve=k.num(f"plans.{n}.reservation", 0),
+            price=k.num(f"plans.{n}.valueFactor", 1),
+            limit_rate=k.num(f"plans.{n}.neverOver", 0),
+            limit_burst=k.num(f"plans.{n}.mostAtOnce", 0),
+            limit_slack=k.num(f"plans.{n}.capSlack", 0),
+        )
+        for n in range(k.whole("plans.count", 0, 0, 1000))
+    )
+    made = i.Settings(
+        classes=classes,
+        plans=plans,
+        heads=k.whole("instances", 1, 1),
+        mean_units=k.num("extra.meanUnits", 1),
+        max_units=k.num("extra.maxUnits", 1),
+        fair_worth=k.num("extra.fairWorth", 1),
+        idle_worth=k.num("extra.idleWorth", 1),
+        max_attempts=k.whole("bounds.maxAttempts", 1, 1),
+        may_cancel=k.flag("bounds.cancel"),
+        link_timeout=k.whole("bounds.dialTimeout", 0),
+        marked=k.flag("callers.marksRetry"),
+        retry_after_max=k.whole("bounds.maxRetryAfter", 0) if k.flag("bounds.retryAfter") else 0,
+        ask_for_nodes=k.text("discovery", "push") == "ask",
+        answer_grace=k.whole("guarantees.graceToAnswer", 0),
+        cold_units=k.num("extra.coldUnits", 0),
+        cold_share=k.num("guarantees.coldShare", 1),
+        cold_multiple=k.num("guarantees.fallMultiple", 1),
+        cold_window=k.whole("guarantees.overloadFor", 0),
+        warm_up=k.whole("guarantees.warmUp", 0),
+        order_rest=k.whole("guarantees.orderPause", 0),
+        budget_window=k.whole("guarantees.resendSpan", 0),
+        budget_free=k.whole("guarantees.freeResends", 0),
+        budget_share=k.num("guarantees.resendRatio", 0),
+    )
+    try:
+        i.check(made)
+    except ValueError as fault:
+        raise ConfigError("settings", str(fault)) from None
+    return made
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A chunk server as discovery's form tells of it."""
+
+    node: i.Node
+    address: Address
+
+
+def endpoint_of(got: Any, key: str) -> Endpoint:
+    if not isinstance(got, dict):
+        raise ConfigError(key, "must be a table")
+    k = Keys(got, key)
+    node = i.Node(
+        node=k.text("name"),
+        state=k.one_of("status", STATES, "ready"),
+        shard=k.whole("group", -1, -1),
+        started=k.whole("since_ms", 0) * 1000,
+    )
+    return Endpoint(node, k.address("address"))
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One message of discovery."""
+
+    index: int
+    whole: bool
+    endpoints: tuple[Endpoint, ...]
+
+
+def listing_of(got: Any, key: str = "discovery") -> Listing:
+    if not isinstance(got, dict):
+        raise ConfigError(key, "must be a table")
+    k = Keys(got, key)
+    entries = k.items("endpoints")
+    return Listing(
+        k.whole("index", 0),
+        k.flag("snapshot", True),
+        tuple(endpoint_of(e, f"{key}.endpoints.{n}") for n, e in enumerate(entries)),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """How the object front asks for one kind of work."""
+
+    class_name: str
+    within: int  # us: the answer is due by then; 0 stands for the class's deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Objects:
+    """The object front, from an operator's file."""
+
+    listen: Address
+    shards: int
+    buckets: dict[str, str]  # bucket to plan
+    read: Operation
+    write: Operation
+    upload: Operation
+    bulk_over: int  # bytes from which a read counts as bulk
+    bulk: Operation
+    block: int
+    buffer: int
+    max_object: int
+    max_part: int
+    max_parts: int
+    max_uploads: int
+    upload_idle: int  # us
+    unit_bytes: int
+    parallel: int
+    memory: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    seed: int
+    settings: i.Settings
+    load_fields: tuple[str, ...]
+    known: Listing
+    listen: Address | None = None
+    discovery: Address | None = None
+    objects: Objects | None = None
+    sockets: int = 1024
+    keepalive: int = 15_000_000
+    tick: int = 2000
+    retry_after: int = 500_000
+    margin: int = 15_000
+    client_idle: int = 0  # us after which a silent client's connection is closed; 0: never
+    plugins: tuple[Path, ...] = ()
+    plugin_limit: int = 5000
+    collector: str = ""
+    log_level: str = "info"
+    extra: dict[str, str] = field(default_factory=dict)
+
+
+def _common(k: Keys, settings: dict[str, Any], known: Any) -> dict[str, Any]:
+    s = Keys(settings, "settings")
+    most = s.whole("bounds.maxRetryAfter", 500_000) or 500_000
+    return {
+        "seed": _seed(k),
+        "settings": settings_of(settings),
+        "load_fields": tuple(f for f in s.text("loadReport.fields", "").split(",") if f),
+        "known": listing_of(known or {}, "known"),
+        "sockets": k.table("limits").whole("sockets", 1024, 32, 1_000_000),
+        "keepalive": s.whole("bounds.keepalive", 15_000_000, 100_000),
+        "tick": s.whole("tick", 2000, 100, 100_000),
+        "retry_after": most,
+    }
+
+
+def _seed(k: Keys) -> int:
+    text = k.text("seed", "0")
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise k.wrong("seed", f"must be hex digits, not {text!r}") from None
+
+
+def platform(env: Mapping[str, str]) -> Config:
+    """What the platform tells a front."""
+    path = env["EDGE_CONFIG"]
+    try:
+        got = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as fault:
+        raise ConfigError("EDGE_CONFIG", str(fault)) from None
+    if not isinstance(got, dict):
+        raise ConfigError("EDGE_CONFIG", "must hold an object")
+    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
+        if variable in env:
+            got[key] = env[variable]
+    k = Keys(got)
+    settings = flat(k.table("settings").got)
+    return Config(
+        name=k.text("name", "front"),
+        listen=k.address("listen"),
+        discovery=k.address("discovery"),
+        **_common(k, settings, got.get("known")),
+    )
+
+
+def operator(path: str) -> Config:
+    """An operator's TOML file: the same keys as the platform's JSON, and tables of its own."""
+    file = Path(path)
+    try:
+        got = tomllib.loads(file.read_text())
+    except (OSError, ValueError) as fault:
+        raise ConfigError("UMBERLEAD_CONFIG", str(fault)) from None
+    allowed = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "objects", "plugins", "log"}
+    for key in got:
+        if key not in allowed:
+            raise ConfigError(key, f"is unknown; known are {', '.join(sorted(allowed))}")
+    k, log, hooks = Keys(got), Keys(got).table("log"), Keys(got).table("plugins")
+    settings = flat(k.table("settings").got)
+    common = _common(k, settings, got.get("known"))
+    scripts = tuple((file.parent / str(s)).resolve() for s in hooks.items("scripts"))
+    for n, script in enumerate(scripts):
+        if not script.is_file():
+            raise hooks.wrong(f"scripts.{n}", f"no such file: {script}")
+    collector = log.text("collector", "")
+    if collector and not collector.startswith(("tcp://", "unix://")):
+        raise log.wrong("collector", "must begin with tcp:// or unix://")
+    if collector.startswith("tcp://"):
+        log.as_address("collector", collector.removeprefix("tcp://"))
+    return Config(
+        name=k.text("name", "front"),
+        listen=k.address("listen") if "listen" in got else None,
+        discovery=k.address("discovery") if "discovery" in got else None,
+        objects=_objects(k.table("objects"), settings, common["settings"]) if "objects" in got else None,
+        client_idle=60_000_000,
+        plugins=scripts,
+        plugin_limit=int(hooks.num("limit_ms", 5, 0.1, 1000) * 1000),
+        collector=collector,
+        log_level=log.one_of("level", {w: w for w in ("debug", "info", "warning", "error")}, "info"),
+        **common,
+    )
+
+
+def _objects(k: Keys, settings: dict[str, Any], made: i.Settings) -> Objects:
+    if not made.marked:
+        # the front asks for many blocks of one answer, each with less time left: unmarked, the module would
+        # take the later ones for a client's second tries
+        raise ConfigError("settings.callers.marksRetry", "must be true with the object front")
+    classes, plans = {c.name: c for c in made.classes}, {p.name for p in made.plans}
+
+    def operation(name: str) -> Operation:
+        t = k.table(name)
+        cls = t.text("class")
+        if cls not in classes:
+            raise t.wrong("class", f"is no class of the settings: {cls!r}")
+        within = int(t.num("within_ms", 0, 0, 3_600_000) * 1000)
+        return Operation(cls, within or classes[cls].deadline)
+
+    buckets = {}
+    for bucket, plan in k.table("buckets").got.items():
+        if plan not in plans:
+            raise k.wrong(f"buckets.{bucket}", f"is no plan of the settings: {plan!r}")
+        buckets[str(bucket)] = str(plan)
+    if not buckets:
+        raise k.wrong("buckets", "needs at least one bucket and its plan")
+    read, write = operation("read"), operation("write")
+    if classes[write.class_name].effect is i.Effect.KEYED:
+        raise k.wrong("write.class", "must not be a deduplicated class")
+    block = k.whole("block_bytes", 65536, 1024, 65536)
+    return Objects(
+        listen=k.address("listen"),
+        shards=int(Keys(settings, "settings").num("extra.nShards", None, 1, 1e6)),
+        buckets=buckets,
+        read=read,
+        write=write,
+        upload=operation("upload") if "upload" in k.got else write,
+        bulk=operation("bulk") if "bulk" in k.got else read,
+        bulk_over=k.whole("bulk_over_bytes", 4 << 20),
+        block=block,
+        buffer=k.whole("buffer_bytes", 1 << 20, block, 16 << 20),
+        max_object=k.whole("max_object_bytes", 8 << 30, 1),
+        max_part=k.whole("max_part_bytes", 8 << 20, 1, 32 << 20),
+        max_parts=k.whole("max_parts", 500, 1, 500),
+        max_uploads=k.whole("max_uploads", 64, 1, 4096),
+        upload_idle=k.whole("upload_idle_s", 3600, 1) * 1_000_000,
+        unit_bytes=k.whole("unit_bytes", 32768, 1),
+        parallel=k.whole("parallel", 4, 1, 32),
+        memory=k.whole("memory_bytes", 64 << 20, 1 << 20, 128 << 20),
+    )
+
+
+def load(env: Mapping[str, str] | None = None) -> Config:
+    env = os.environ if env is None else env
+    if path := env.get("UMBERLEAD_CONFIG"):
+        made = operator(path)
+    elif "EDGE_CONFIG" in env:
+        made = platform(env)
+    else:
+        raise ConfigError("EDGE_CONFIG", "is not set, and neither is UMBERLEAD_CONFIG")
+    if made.listen is None and made.objects is None:
+        raise ConfigError("listen", "neither the platform front nor the object front is set up")
+    if made.discovery is None and not made.known.endpoints:
+        raise ConfigError("discovery", "is missing, and known lists no endpoints")
+    return made
--- a/lichenwinch/decide.py
+++ b/umberlead/core/decide.py
@@ -12,9 +12,9 @@
 
 import numpy as np
 
-from lichenwinch import interface as api
-from lichenwinch.interface import Effect, NodeState, Result
-from lichenwinch.records import Item, Try
+from umberlead.core import interface as api
+from umberlead.core.interface import Effect, NodeState, Result
+from umberlead.core.records import Item, Try
 
 INTERVAL = 500_000  # us between control steps: the paper's interval for its file server
 FEW = 5  # answers under which shares stay (Fig. 3 of the paper): the interval goes on until it has them
--- /dev/null
+++ b/umberlead/core/engine.py
@@ -0,0 +1,286 @@
+"""Requests, attempts and outcomes between fronts, the decision module and whatever carries attempts.
+
+A front hands in an `Ask` and is called back once with its `Answer`. The module's word is carried out as it
+comes; what the rules forbid is not sent whoever asks for it. No wire is known here."""
+
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from umberlead.core import interface as api
+from umberlead.core.counters import Counters
+from umberlead.core.decide import Head
+from umberlead.core.interface import Effect, Result
+from umberlead.core.slots import Slots
+from umberlead.core.wheel import Timer, Wheel
+
+NEVER_RAN = (Result.FULL, Result.NO_LINK, Result.MOOT)
+LAST_WORD = 10_000  # us after a request's end by which the engine answers in the module's place
+
+
+class Kind(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Ask:
+    """A request as a front took it; `payload` is for the carrier alone."""
+
+    class_name: str
+    plan: str
+    volume: str
+    key: str | None
+    shard: int
+    units: float
+    give_up: int
+    payload: Any
+    writers: int = 1
+    repeat: bool = False
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a carrier brought back for one attempt."""
+
+    status: int = 0
+    body: bytes = b""
+    load: dict[str, float] = field(default_factory=dict)
+    used: int = 0
+    elsewhere: int = 0
+
+
+@dataclass(slots=True)
+class Answer:
+    kind: Kind
+    reply: Reply | None = None
+    retry_after: int = 0  # us
+    may_have_run: bool = False
+    reason: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request in its slot, from `take` to its answer and the end of its last attempt."""
+
+    ask: Ask
+    done: Callable[[Answer], None]
+    slot: int = -1
+    id: str = ""
+    tries: int = 0
+    out: "Attempt | None" = None
+    may_have_run: bool = False
+    answered: bool = False
+    notes: dict[str, str] = field(default_factory=dict)
+    timer: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a request to a node."""
+
+    ticket: Ticket
+    number: int
+    node: str
+    sent: int
+    give_up: int
+    carried: Any = None  # the carrier's own
+
+
+class Carrier(Protocol):
+    def start(self, attempt: Attempt) -> None:
+        """Send it; `Engine.ended` is owed once."""
+
+    def stop(self, attempt: Attempt, why: Result) -> None:
+        """Give it up; `Engine.ended` is owed all the same."""
+
+
+class Hooks(Protocol):
+    def taken(self, ticket: Ticket) -> str | None:
+        """A reason to refuse, or None."""
+
+    def outcome(self, ticket: Ticket, node: str, result: Result, elapsed: int) -> None: ...
+
+    def answer(self, ticket: Ticket, answer: Answer) -> None: ...
+
+
+class Engine:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Callable[[], int],
+        wheel: Wheel,
+        soon: Callable[[Callable[[], None]], Any],
+        counters: Counters,
+        log: Callable[..., None],
+        hooks: Hooks | None = None,
+    ) -> None:
+        self.settings, self.clock, self.wheel, self.counters = settings, clock, wheel, counters
+        self.log, self.hooks, self._soon = log, hooks, soon
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name for p in settings.plans}
+        self.head = Head(settings, seed, clock())
+        self.tickets: Slots[Ticket] = Slots()
+        self.carrier: Carrier | None = None
+        self._events: list[api.Event] = []
+        self._number = 0
+
+    # From the fronts
+
+    def take(self, ask: Ask, done: Callable[[Answer], None]) -> Ticket:
+        """Owe `ask` one answer."""
+        if ask.class_name not in self.classes or ask.plan not in self.plans:
+            raise ValueError(f"unknown class or plan: {ask.class_name}, {ask.plan}")
+        ticket = Ticket(ask, done)
+        ticket.slot, self._number = self.tickets.add(ticket), self._number + 1
+        ticket.id = f"{ticket.slot}.{self._number}"
+        self.counters.add("requests_taken")
+        reason = self.hooks.taken(ticket) if self.hooks else None
+        if reason is not None or ask.give_up <= self.clock():
+            self._answer(ticket, Answer(Kind.REFUSED, reason=reason or "no time left"))
+            return ticket
+        ticket.timer = self.wheel.at(ask.give_up, self._out_of_time, ticket)
+        self._post(
+            api.Request(
+                ticket.id, ask.key, ask.volume, ask.give_up, ask.shard, ask.units, ask.class_name, ask.plan,
+                ask.writers, ask.repeat,
+            )
+        )  # fmt: skip
+        return ticket
+
+    def gone(self, ticket: Ticket) -> None:
+        """Its client left: nothing is owed. An attempt that is out runs on: no cancel stops the node's work,
+        and its outcome is news."""
+        if not ticket.answered:
+            ticket.answered = True
+            self.counters.add("clients_gone")
+            self._post(api.ClientGone(ticket.id))
+            self._release(ticket)
+
+    def listed(self, news: api.NodeList) -> None:
+        self._post(news)
+
+    # From the carrier
+
+    def ended(self, attempt: Attempt, result: Result, reply: Reply | None = None) -> None:
+        """The attempt's one outcome."""
+        ticket, reply = attempt.ticket, reply or Reply()
+        if ticket.out is not attempt:
+            raise RuntimeError(f"second outcome for attempt {attempt.number} of {ticket.id}")
+        ticket.out = None
+        ticket.may_have_run |= result not in NEVER_RAN
+        self.counters.add(f"attempts_{result.value}")
+        elapsed = max(self.clock() - attempt.sent, 0)
+        if self.hooks:
+            self.hooks.outcome(ticket, attempt.node, result, elapsed)
+        if result is Result.OK and not ticket.answered:
+            self._answer(ticket, Answer(Kind.SERVED, reply, may_have_run=True))
+        self._post(
+            api.Outcome(
+                ticket.id, attempt.node, attempt.number, result, elapsed, ticket.answered, reply.load,
+                reply.used, reply.elsewhere,
+            )
+        )  # fmt: skip
+        self._release(ticket)
+
+    # To and from the module
+
+    def _post(self, event: api.Event) -> None:
+        """Events of one turn of the loop make one batch."""
+        if not self._events:
+            self._soon(self._decide)
+        self._events.append(event)
+
+    def _decide(self) -> None:
+        events, self._events = self._events, []
+        now = self.clock()
+        try:
+            acts = self.head.handle(now, events)
+        except Exception:  # what is open is still answered: _out_of_time and _last_word see to it
+            self.counters.add("module_errors")
+            self.log("module_error", trace=traceback.format_exc())
+            return
+        for act in acts:
+            if isinstance(act, api.SetTimer):
+                self.wheel.at(now + act.delay, self._post, api.Wake(act.label))
+            elif isinstance(act, api.Note):
+                self.log("module_note", text=act.text)
+            elif isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel):
+                ticket = self.tickets.get(int(act.request.partition(".")[0]))
+                if ticket is not None and ticket.id == act.request:
+                    self._act(ticket, act)
+
+    def _act(self, ticket: Ticket, act: api.Send | api.Refuse | api.Fail | api.Cancel) -> None:
+        if isinstance(act, api.Send):
+            self._send(ticket, act.node)
+        elif isinstance(act, api.Cancel):
+            if ticket.out is not None and ticket.out.number == act.attempt and self.carrier:
+                self.carrier.stop(ticket.out, Result.CANCELLED)
+        elif not ticket.answered:
+            refused = isinstance(act, api.Refuse)
+            advice = act.retry_after if isinstance(act, api.Refuse) else 0
+            kind = Kind.REFUSED if refused and self._may_repeat(ticket) else Kind.FAILED
+            self._answer(ticket, Answer(kind, None, advice, ticket.may_have_run))
+            self._release(ticket)
+
+    def _may_repeat(self, ticket: Ticket) -> bool:
+        """Nothing ran, or running again does no harm."""
+        return not ticket.may_have_run or self.classes[ticket.ask.class_name].effect is Effect.SAFE
+
+    def _send(self, ticket: Ticket, node: str) -> None:
+        number, now = ticket.tries, self.clock()
+        ticket.tries += 1
+        barred = (
+            ticket.answered
+            or ticket.out is not None  # never two attempts at once
+            or number >= self.settings.max_attempts
+            or now >= ticket.ask.give_up
+            or (ticket.may_have_run and self.classes[ticket.ask.class_name].effect is Effect.UNSAFE)
+        )
+        if barred or self.carrier is None:
+            self.counters.add("attempts_barred")
+            self._post(
+                api.Outcome(ticket.id, node, number, Result.MOOT, 0, ticket.answered)
+            )
+            return
+        ticket.out = Attempt(ticket, number, node, now, ticket.ask.give_up)
+        self.counters.add("attempts_sent")
+        self.carrier.start(ticket.out)
+
+    # Ends
+
+    def _out_of_time(self, ticket: Ticket) -> None:
+        """The time of the request, and of the attempt that is out, is over. An attempt of a client that
+        left ends here too."""
+        ticket.timer = None
+        if ticket.out is not None and self.carrier:
+            self.carrier.stop(ticket.out, Result.TIMEOUT)
+        if not ticket.answered:
+            self.wheel.after(LAST_WORD, self._last_word, ticket)
+
+    def _last_word(self, ticket: Ticket) -> None:
+        """The module left it open: answered here, for each request taken is owed one answer."""
+        if not ticket.answered:
+            self.counters.add("answered_for_module")
+            kind = Kind.REFUSED if ticket.out is None and self._may_repeat(ticket) else Kind.FAILED
+            self._answer(ticket, Answer(kind, may_have_run=ticket.may_have_run or ticket.out is not None))
+            self._post(api.ClientGone(ticket.id))
+            self._release(ticket)
+
+    def _answer(self, ticket: Ticket, answer: Answer) -> None:
+        ticket.answered = True
+        self.counters.add(f"requests_{answer.kind.value}")
+        if self.hooks:
+            self.hooks.answer(ticket, answer)
+        ticket.done(answer)
+        self._release(ticket)
+
+    def _release(self, ticket: Ticket) -> None:
+        if ticket.answered and ticket.out is None and self.tickets.get(ticket.slot) is ticket:
+            if ticket.timer is not None:
+                ticket.timer.cancel()
+            self.tickets.free(ticket.slot)
--- a/lichenwinch/interface.py
+++ b/umberlead/core/interface.py
@@ -1,4 +1,4 @@
-"""What a head tells lichenwinch and what it is told to do: settings, events and actions.
+"""What a head tells umberlead and what it is told to do: settings, events and actions.
 
 Times are whole microseconds of one clock that only moves forward. Nothing here decides anything.
 """
--- a/lichenwinch/benchlink.py
+++ b/umberlead/wirehost.py
@@ -4,10 +4,10 @@
 import traceback
 from typing import TextIO
 
-from lichenwinch import interface as i
-from lichenwinch.decide import Head
+from umberlead.config import settings_of
+from umberlead.core import interface as i
+from umberlead.core.decide import Head
 
-_EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
 _STATES = {"live": i.NodeState.UP, "quiescing": i.NodeState.DRAINING, "dead": i.NodeState.GONE}
 _RESULTS = {
     "pass": i.Result.OK,
@@ -43,70 +43,6 @@
     return text in ("true", "1")
 
 
-def settings_of(words: list[str]) -> i.Settings:
-    """The library's settings from the wire's path=value pairs; what is unknown is left alone."""
-    got = _pairs(words)
-
-    def num(path: str, default: float) -> float:
-        return float(got[path]) if got.get(path, "-") != "-" else default
-
-    def whole(path: str, default: int) -> int:
-        return int(num(path, default))
-
-    classes = tuple(
-        i.RequestClass(
-            name=got[f"grades.{k}.name"],
-            aim=whole(f"grades.{k}.aim", 0),
-            deadline=whole(f"grades.{k}.hardLimit", 0),
-            effect=_EFFECTS[got.get(f"grades.{k}.effect", "at_most_once")],
-            group=got.get(f"grades.{k}.group", "cell"),
-            memory=whole(f"grades.{k}.memorySpan", 0),
-            ordered=_bool(got.get(f"grades.{k}.sequential", "")),
-            worth=num(f"grades.{k}.credit", 1),
-            late_worth=num(f"grades.{k}.lateWorth", 0),
-        )
-        for k in range(whole("grades.count", 0))
-    )
-    plans = tuple(
-        i.Plan(
-            name=got[f"plans.{k}.name"],
-            weight=num(f"plans.{k}.weight", 1),
-            rate=num(f"plans.{k}.usualRate", 0),
-            reserve=num(f"plans.{k}.reservation", 0),
-            price=num(f"plans.{k}.valueFactor", 1),
-            limit_rate=num(f"plans.{k}.neverOver", 0),
-            limit_burst=num(f"plans.{k}.mostAtOnce", 0),
-            limit_slack=num(f"plans.{k}.capSlack", 0),
-        )
-        for k in range(whole("plans.count", 0))
-    )
-    return i.Settings(
-        classes=classes,
-        plans=plans,
-        heads=whole("instances", 1),
-        mean_units=num("extra.meanUnits", 1),
-        max_units=num("extra.maxUnits", 1),
-        fair_worth=num("extra.fairWorth", 1),
-        idle_worth=num("extra.idleWorth", 1),
-        max_attempts=whole("bounds.maxAttempts", 1),
-        may_cancel=_bool(got.get("bounds.cancel", "")),
-        link_timeout=whole("bounds.dialTimeout", 0),
-        marked=_bool(got.get("callers.marksRetry", "")),
-        retry_after_max=whole("bounds.maxRetryAfter", 0) if _bool(got.get("bounds.retryAfter", "")) else 0,
-        ask_for_nodes=got.get("discovery") == "ask",
-        answer_grace=whole("guarantees.graceToAnswer", 0),
-        cold_units=num("extra.coldUnits", 0),
-        cold_share=num("guarantees.coldShare", 1),
-        cold_multiple=num("guarantees.fallMultiple", 1),
-        cold_window=whole("guarantees.overloadFor", 0),
-        warm_up=whole("guarantees.warmUp", 0),
-        order_rest=whole("guarantees.orderPause", 0),
-        budget_window=whole("guarantees.resendSpan", 0),
-        budget_free=whole("guarantees.freeResends", 0),
-        budget_share=num("guarantees.resendRatio", 0),
-    )
-
-
 def _maybe(text: str) -> int:
     return 0 if text == "-" else int(text)
 
@@ -177,11 +113,9 @@
 
     def start(self, head: str, w: list[str]) -> None:
         """An instance begins."""
-        try:
-            settings = settings_of(w[2:])
-        except KeyError as missing:
-            raise WireError(f"missing or unknown setting {missing}") from None
-        fields = _pairs(w[2:]).get("loadReport.fields", "")
+        pairs = _pairs(w[2:])
+        settings = settings_of(pairs)
+        fields = pairs.get("loadReport.fields", "")
         self.fields[head] = [f for f in fields.split(",") if f and f != "-"]
         self.heads[head] = Head(settings, int(w[1]), self.now)
 
@@ -270,7 +204,7 @@
             try:
                 link.start(head, w)
             except ValueError as fault:
-                raise WireError(f"settings: {fault}") from None
+                raise WireError(str(fault)) from None
             waiting[head] = []
         elif kind == "shutdown":
             if head not in link.heads:
