--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -2,9 +2,9 @@
 
 import numpy as np
 
+from tests.helpers import READ, T0, ask, end, feed, head, up
 from umberlead.core.decide import EFFORT, FORGET, GOAL, Controller, Lane
 from umberlead.core.records import Item
-from tests.helpers import READ, T0, ask, end, feed, head, up
 
 
 def test_one_step_of_least_squares_is_the_matrix_form() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.helpers import T0, ask, end, feed, head, nodes, run_until, sends, settings, up
 from umberlead.core.decide import Head
 from umberlead.core.interface import (
     Cancel,
@@ -18,7 +19,6 @@
     Settings,
     check,
 )
-from tests.helpers import T0, ask, end, feed, head, nodes, run_until, sends, settings, up
 
 DRAIN = NodeState.DRAINING
 
--- /dev/null
+++ b/umberlead/__main__.py
@@ -0,0 +1,168 @@
+"""`python -m umberlead`: one front, from its configuration to its last answer."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+from umberlead import config
+from umberlead.core.counters import Counters
+from umberlead.core.engine import Engine
+from umberlead.core.interface import NodeList
+from umberlead.core.wheel import Wheel
+from umberlead.fronts.platform import PlatformFront
+from umberlead.net.attempts import Pool
+from umberlead.net.discovery import Watch
+from umberlead.net.http import Clients, Handler, ServerConnection
+from umberlead.plugins import Plugins
+from umberlead.telemetry import Syslog, logger
+
+SPARE = 48  # descriptors for listeners, discovery, logging and the interpreter itself
+ACCEPTING = 500_000  # us after SIGTERM in which new connections are still taken
+SWEEP = 500_000
+BODY_MEMORY = 48 << 20
+
+
+def module_clock() -> Callable[[], int]:
+    """Whole microseconds that only move forward, anchored once to Unix time: discovery's times compare."""
+    anchor = time.time_ns() - time.monotonic_ns()
+    return lambda: (time.monotonic_ns() + anchor) // 1000
+
+
+class Front:
+    """The parts of one process, wired together."""
+
+    def __init__(self, conf: config.Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.conf, self.loop = conf, loop
+        self.counters = Counters()
+        self.syslog = Syslog(conf.collector, self.counters)
+        self.log = logger(conf.name, conf.log_level, self.syslog)
+        self.clock = module_clock()
+        self.wheel = Wheel(self.clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), conf.tick)
+        hooks = Plugins(conf.plugins, conf.plugin_limit, self.counters, self.log.warning)
+        self.engine = Engine(
+            conf.settings, conf.seed, self.clock, self.wheel, loop.call_soon, self.counters, self.log.error,
+            hooks if hooks.plugins else None,
+        )  # fmt: skip
+        most = conf.sockets - SPARE
+        self.clients_most = most // 2
+        self.pool = Pool(
+            self.engine, loop, self.wheel, self.clock, self.counters, most - self.clients_most,
+            conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal",
+        )  # fmt: skip
+        self.engine.carrier = self.pool
+        self.servers: list[asyncio.Server] = []
+        self.groups: list[Clients] = []
+        self.watch: Watch | None = None
+        self.done = asyncio.Event()
+        self.stopping = False
+
+    def told(self, listing: config.Listing) -> None:
+        for endpoint in listing.endpoints:
+            self.pool.addresses[endpoint.node.node] = endpoint.address
+        self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
+
+    async def listen(self, handler: Handler, address: config.Address) -> None:
+        share = self.clients_most // (2 if self.conf.listen and self.conf.objects else 1)
+        clients = Clients(share, self.clock, self.counters, self.conf.client_idle, BODY_MEMORY)
+        self.groups.append(clients)
+        server = await self.loop.create_server(
+            lambda: ServerConnection(handler, clients), *address, backlog=1024
+        )
+        self.servers.append(server)
+        host, port = server.sockets[0].getsockname()[:2]
+        self.log.info("listening", address=f"{host}:{port}")
+
+    async def run(self) -> None:
+        conf = self.conf
+        self.told(conf.known)
+        if conf.discovery is not None:
+            self.watch = Watch(
+                conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
+                self.log.warning, self.told,
+            )  # fmt: skip
+            self.watch.open()
+        if conf.listen is not None:
+            await self.listen(PlatformFront(self.engine, conf.retry_after, conf.margin), conf.listen)
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self.loop.add_signal_handler(signal.SIGINT, self.stop)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        self.sweep()
+        gc.collect()
+        gc.freeze()  # what the start made stays: later collections pass it by
+        await self.done.wait()
+
+    def sweep(self) -> None:
+        self.pool.sweep()
+        for clients in self.groups:
+            clients.sweep()
+        if self.stopping and not len(self.engine.tickets) and not any(len(c.slots) for c in self.groups):
+            self.done.set()
+        self.wheel.after(SWEEP if not self.stopping else SWEEP // 10, self.sweep)
+
+    def stop(self) -> None:
+        """SIGTERM: clients keep coming for a moment, and all that is taken is answered."""
+        if not self.stopping:
+            self.log.info("stopping", open=len(self.engine.tickets))
+            self.wheel.after(ACCEPTING, self.close)
+
+    def close(self) -> None:
+        self.stopping = True
+        for server in self.servers:
+            server.close()
+        for clients in self.groups:
+            clients.drain()
+        self.sweep()
+
+    def report(self) -> None:
+        self.log.info("counters", open=len(self.engine.tickets), **self.counters.report())
+
+    def end(self) -> None:
+        if self.watch is not None:
+            self.watch.close()
+        self.pool.close()
+        self.report()
+        self.syslog.close()
+
+
+def main() -> int:
+    try:
+        conf = config.load()
+    except config.ConfigError as fault:
+        print(f"umberlead: {fault}", file=sys.stderr)
+        return 2
+
+    async def serve() -> None:
+        front = Front(conf, asyncio.get_running_loop())
+        front.loop.set_exception_handler(lambda _, told: _unexpected(front, told))
+        try:
+            await front.run()
+        finally:
+            front.end()
+
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve())
+    except config.ConfigError as fault:
+        print(f"umberlead: {fault}", file=sys.stderr)
+        return 2
+    except OSError as fault:
+        print(f"umberlead: listen: {fault}", file=sys.stderr)
+        return 2
+    return 0
+
+
+def _unexpected(front: Front, told: dict[str, Any]) -> None:
+    front.counters.add("unexpected_errors")
+    fault = told.get("exception")
+    front.log.error("unexpected_error", what=str(told.get("message")), why=repr(fault), pid=os.getpid())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -8,7 +8,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -286,7 +286,6 @@
     plugin_limit: int = 5000
     collector: str = ""
     log_level: str = "info"
-    extra: dict[str, str] = field(default_factory=dict)
 
 
 def _common(k: Keys, settings: dict[str, Any], known: Any) -> dict[str, Any]:
@@ -341,7 +340,18 @@
         got = tomllib.loads(file.read_text())
     except (OSError, ValueError) as fault:
         raise ConfigError("UMBERLEAD_CONFIG", str(fault)) from None
-    allowed = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "objects", "plugins", "log"}
+    allowed = {
+        "name",
+        "listen",
+        "discovery",
+        "seed",
+        "limits",
+        "known",
+        "settings",
+        "objects",
+        "plugins",
+        "log",
+    }
     for key in got:
         if key not in allowed:
             raise ConfigError(key, f"is unknown; known are {', '.join(sorted(allowed))}")
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -243,9 +243,7 @@
         )
         if barred or self.carrier is None:
             self.counters.add("attempts_barred")
-            self._post(
-                api.Outcome(ticket.id, node, number, Result.MOOT, 0, ticket.answered)
-            )
+            self._post(api.Outcome(ticket.id, node, number, Result.MOOT, 0, ticket.answered))
             return
         ticket.out = Attempt(ticket, number, node, now, ticket.ask.give_up)
         self.counters.add("attempts_sent")
--- /dev/null
+++ b/umberlead/fronts/platform.py
@@ -0,0 +1,113 @@
+"""The platform's protocol: a client's HTTP request to an `Ask`, an `Answer` to HTTP."""
+
+import math
+import re
+from urllib.parse import parse_qs
+
+from umberlead.core.engine import Answer, Ask, Engine, Kind, Ticket
+from umberlead.net.attempts import BODY_MOST, Outgoing
+from umberlead.net.http import Message, ServerConnection
+
+PASSED_ON = ((b"x-call-id", b"X-Call-Id: "), (b"x-plan", b"X-Plan: "), (b"x-io", b"X-IO: "))
+TOKEN = re.compile(rb"[!-~]{1,128}")
+BLOCK = re.compile(r"[0-9a-fA-F]{16}")
+WORD = re.compile(r"[0-9a-fA-F]{1,32}")
+
+
+class BadRequest(ValueError):
+    """The client's mistake; the text tells it."""
+
+
+def ask_of(message: Message, engine: Engine, margin: int) -> Ask:
+    """What the client wants, or `BadRequest`."""
+    path, query = message.split()
+    class_name = path.lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+    cls = engine.classes.get(class_name)
+    if cls is None:
+        raise BadRequest(f"no such class: {class_name}")
+    got = message.headers
+    plan = got.get(b"x-plan", b"").decode("latin-1")
+    if plan not in engine.plans:
+        raise BadRequest(f"X-Plan: no such plan: {plan}")
+    if TOKEN.fullmatch(got.get(b"x-call-id", b"")) is None:
+        raise BadRequest("X-Call-Id is missing or malformed")
+    if message.method not in (b"GET", b"PUT"):
+        raise BadRequest("a read is a GET, a write is a PUT")
+    block = parse_qs(query.decode("latin-1")).get("block", [""])[0]
+    if BLOCK.fullmatch(block) is None:
+        raise BadRequest("block must be 16 hex digits")
+    io = dict(pair.strip().partition("=")[::2] for pair in got.get(b"x-io", b"").decode("latin-1").split(","))
+    try:
+        budget = float(got[b"x-budget"]) if b"x-budget" in got else cls.deadline / 1e6
+        units, shard, hosts = float(io["units"]), int(io["shard"]), int(io.get("hosts", 1))
+        volume = io["volume"]
+    except (KeyError, ValueError):
+        raise BadRequest("X-Budget or X-IO is missing or malformed") from None
+    if not (0 < budget <= 3600 and 0 < units <= 1e6 and -1 <= shard < 1 << 31 and 1 <= hosts <= 1 << 20):
+        raise BadRequest("X-Budget or X-IO is out of range")
+    if WORD.fullmatch(volume) is None:
+        raise BadRequest("X-IO: volume must be hex digits")
+    out = Outgoing(
+        message.method,
+        message.target,
+        [name + got[key] for key, name in PASSED_ON if key in got],
+        message.body,
+    )
+    # The budget counts from the client's sending: the margin is for the way here and back.
+    give_up = message.received + max(int(budget * 1e6) - margin, 0)
+    return Ask(
+        class_name, plan, volume, block, shard, units, give_up, out, hosts, got.get(b"x-again") == b"1"
+    )
+
+
+class PlatformFront:
+    """Translates, and decides nothing."""
+
+    body_most = BODY_MOST
+
+    def __init__(self, engine: Engine, retry_after: int, margin: int) -> None:
+        self.engine, self.margin = engine, margin
+        self.retry_after = retry_after
+        self.ready = True
+
+    def request(self, conn: ServerConnection, message: Message) -> None:
+        if message.target == b"/healthz" and message.method in (b"GET", b"HEAD"):
+            conn.reply(200 if self.ready else 503, (), b"ok\n" if self.ready else b"not ready\n")
+            return
+        try:
+            ask = ask_of(message, self.engine, self.margin)
+        except BadRequest as fault:
+            self.engine.counters.add("bad_requests_400")
+            conn.reply(400, (), f"{fault}\n".encode())
+            return
+        conn.context = None
+        ticket = self.engine.take(ask, lambda answer: self._answer(conn, message, answer))
+        if not ticket.answered:
+            conn.context = ticket
+
+    def _answer(self, conn: ServerConnection, message: Message, answer: Answer) -> None:
+        if conn.open is not message:
+            return
+        conn.context = None
+        if answer.kind is Kind.SERVED and answer.reply is not None:
+            conn.reply(200, (), answer.reply.body)
+        elif answer.kind is Kind.REFUSED:
+            self.refuse(conn, answer.retry_after, answer.reason)
+        else:
+            conn.reply(502, (), b"failed; it may have taken effect\n" if answer.may_have_run else b"failed\n")
+
+    def refuse(self, conn: ServerConnection, retry_after: int, reason: str) -> None:
+        """At once, and telling when to come back."""
+        wait = math.ceil((retry_after or self.retry_after) / 1000) / 1000
+        conn.reply(503, (b"Retry-After: %g" % wait,), f"refused: {reason or 'try later'}\n".encode())
+
+    def gone(self, conn: ServerConnection) -> None:
+        ticket, conn.context = conn.context, None
+        if isinstance(ticket, Ticket):
+            self.engine.gone(ticket)
+
+    def bad(self, conn: ServerConnection, status: int, why: str) -> None:
+        if status == 503:
+            self.refuse(conn, 0, why)
+        else:
+            conn.reply(status, (), f"{why}\n".encode())
--- /dev/null
+++ b/umberlead/net/attempts.py
@@ -0,0 +1,305 @@
+"""Attempts on sockets: connections to chunk servers, their pool, and what their ends mean.
+
+Whether a request's bytes were all handed to the system decides between a failed connection, which proves
+that nothing ran, and a reset, which does not. Nothing is ever sent again from here."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+
+from umberlead.config import Address
+from umberlead.core.counters import Counters
+from umberlead.core.engine import Attempt, Engine, Reply
+from umberlead.core.interface import Result
+from umberlead.core.slots import Slots
+from umberlead.core.wheel import Timer, Wheel
+
+BODY_MOST = 64 * 1024
+HEAD_MOST = 16 * 1024
+IDLE_PART = 0.6  # of the keepalive: the chunk server may close at any time up to the whole of it
+
+
+@dataclass(slots=True)
+class Outgoing:
+    """What a front hands down with a request, as it goes to a chunk server."""
+
+    method: bytes
+    target: bytes
+    headers: list[bytes]  # whole lines, without the line's end
+    body: bytes = b""
+    served: frozenset[int] = field(default=frozenset((200,)))
+
+
+class NodeConnection(asyncio.Protocol):
+    """One connection to a chunk server; it carries an attempt at a time."""
+
+    def __init__(self, pool: "Pool", address: Address) -> None:
+        self.pool, self.address = pool, address
+        self.transport: asyncio.Transport | None = None
+        self.attempt: Attempt | None = None
+        self.why: Result | None = None  # given up for
+        self.written = False
+        self.dial: asyncio.Task[None] | None = None
+        self.timer: Timer | None = None
+        self.slot = -1
+        self.idle_since = 0
+        self.closed = False
+        self._paused = False
+        self._reset_answer()
+
+    def _reset_answer(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
+        self.size = 0
+        self.framed = self.head_done = False
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.closed:  # given up while it came up
+            self.transport.abort()
+            return
+        # With a mark of 0 a write is tried at once, and resume_writing says when all of it is out.
+        self.transport.set_write_buffer_limits(high=0)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.pool.counters.add("node_connections_opened")
+        self._write()
+
+    def _write(self) -> None:
+        attempt, transport = self.attempt, self.transport
+        assert attempt is not None and transport is not None
+        out: Outgoing = attempt.ticket.ask.payload
+        left = max(attempt.give_up - self.pool.clock(), 0) / 1e6
+        parts = [out.method, b" ", out.target, b" HTTP/1.1\r\n", self.pool.host]
+        for line in out.headers:
+            parts += (line, b"\r\n")
+        parts.append(b"X-Budget: %.3f\r\n" % left)
+        if out.body or out.method != b"GET":
+            parts.append(b"Content-Length: %d\r\n" % len(out.body))
+        parts += (b"\r\n", out.body)
+        self.written = False
+        transport.writelines(parts)
+        self.written = not self._paused and not transport.is_closing()
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None or self.why is not None:
+            self.close()  # nobody asked
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.pool.counters.add("node_answers_malformed")
+            self.close()
+
+    def eof_received(self) -> bool:
+        if self.attempt is not None and self.why is None and self.head_done and not self.framed:
+            self._answered(keep=False)  # an answer may end with its connection
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close()
+        self.pool.forget(self)
+        if self.attempt is not None:
+            # A stale pooled connection ends here too: what was written may have been read.
+            self._end(Result.RESET if self.written else Result.NO_LINK)
+
+    # httptools
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
+        self.head_done = True
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        self.body.append(body)
+        if self.size > BODY_MOST:
+            self.pool.counters.add("node_answers_too_large")
+            self.close()
+
+    def on_message_complete(self) -> None:
+        if self.parser.get_status_code() < 200:
+            self.headers, self.body, self.size, self.head_done = {}, [], 0, False
+        elif self.attempt is not None and not self.closed:
+            self._answered(keep=self.parser.should_keep_alive())
+
+    def _answered(self, keep: bool) -> None:
+        status, got, attempt = self.parser.get_status_code(), self.headers, self.attempt
+        assert attempt is not None
+        out: Outgoing = attempt.ticket.ask.payload
+        reply = Reply(
+            status, b"".join(self.body), _load(got.get(b"x-load-report", b"")),
+            _whole(got.get(b"x-volume-use"), -1) + 1,  # the header leaves out the simulator's 1
+            _whole(got.get(b"x-served-elsewhere"), 0),
+        )  # fmt: skip
+        if status in out.served:
+            result = Result.OK
+        elif status in (503, 504) and got.get(b"x-rejected") == b"1":
+            result = Result.FULL
+        else:
+            result = Result.ERROR
+        keep = keep and self.written
+        if not keep:
+            self.close()
+        self.attempt = None
+        self._reset_answer()
+        self.why = None
+        if keep:
+            self.pool.rest(self)
+        self.pool.engine.ended(attempt, result, reply)
+
+    # Ends
+
+    def _end(self, result: Result) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            if self.why is not None:
+                result = self.why if self.written else Result.NO_LINK
+            self.pool.engine.ended(attempt, result)
+
+    def give_up(self, why: Result) -> None:
+        """The outcome comes once the connection is closed, so the next attempt never overlaps this one."""
+        if self.why is None and not self.closed:
+            self.why = why
+            self.close()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.dial is not None:
+            self.dial.cancel()
+
+    def dial_ended(self, task: "asyncio.Task[None]") -> None:
+        """Without a connection: refused, not up in time, or given up."""
+        if not task.cancelled():
+            task.exception()
+        if self.transport is None:
+            self.close()
+            self.pool.forget(self)
+            self._end(Result.NO_LINK)
+
+
+def _whole(value: bytes | None, default: int) -> int:
+    try:
+        return default if value is None else int(float(value))
+    except (ValueError, OverflowError):
+        return default
+
+
+def _load(text: bytes) -> dict[str, float]:
+    load = {}
+    for pair in text.decode("latin-1").split(","):
+        name, _, value = pair.partition("=")
+        try:
+            load[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return load
+
+
+class Pool:
+    """Carries attempts: an idle connection to the node's address, or a new one."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        loop: asyncio.AbstractEventLoop,
+        wheel: Wheel,
+        clock: Callable[[], int],
+        counters: Counters,
+        most: int,
+        link_timeout: int,
+        keepalive: int,
+        service: str,
+    ) -> None:
+        self.engine, self.loop, self.wheel, self.clock, self.counters = engine, loop, wheel, clock, counters
+        self.most, self.link_timeout, self.idle_time = most, link_timeout, int(keepalive * IDLE_PART)
+        self.host = b"Host: %s\r\n" % service.encode()
+        self.addresses: dict[str, Address] = {}
+        self.idle: dict[Address, list[NodeConnection]] = {}
+        self.slots: Slots[NodeConnection] = Slots()
+
+    def start(self, attempt: Attempt) -> None:
+        address = self.addresses[attempt.node]
+        resting = self.idle.get(address)
+        while resting:
+            conn = resting.pop()  # the one used last: the others age and retire
+            if not conn.closed and conn.transport is not None and not conn.transport.is_closing():
+                conn.attempt, attempt.carried = attempt, conn
+                self.counters.add("node_connections_reused")
+                conn._write()
+                return
+        if len(self.slots) >= self.most and not self._evict():
+            self.counters.add("node_connections_over_cap")
+            self.engine.ended(attempt, Result.NO_LINK)
+            return
+        conn = NodeConnection(self, address)
+        conn.slot, conn.attempt, attempt.carried = self.slots.add(conn), attempt, conn
+        conn.timer = self.wheel.after(self.link_timeout, conn.close)
+        conn.dial = self.loop.create_task(self._dial(conn))
+        conn.dial.add_done_callback(conn.dial_ended)
+
+    async def _dial(self, conn: NodeConnection) -> None:
+        try:
+            await self.loop.create_connection(lambda: conn, *conn.address)
+        except OSError:
+            self.counters.add("node_connections_failed")
+
+    def stop(self, attempt: Attempt, why: Result) -> None:
+        attempt.carried.give_up(why)
+
+    def rest(self, conn: NodeConnection) -> None:
+        conn.idle_since = self.clock()
+        self.idle.setdefault(conn.address, []).append(conn)
+
+    def forget(self, conn: NodeConnection) -> None:
+        if conn.slot >= 0:
+            self.slots.free(conn.slot)
+            conn.slot = -1
+        resting = self.idle.get(conn.address)
+        if resting and conn in resting:
+            resting.remove(conn)
+
+    def sweep(self) -> None:
+        """Retire idle connections well before the chunk server may close them."""
+        old = self.clock() - self.idle_time
+        for address, resting in list(self.idle.items()):
+            while resting and resting[0].idle_since <= old:
+                self.counters.add("node_connections_retired")
+                resting.pop(0).close()
+            if not resting:
+                del self.idle[address]
+
+    def _evict(self) -> bool:
+        resting = [r for r in self.idle.values() if r]
+        if not resting:
+            return False
+        conn = min(resting, key=lambda r: r[0].idle_since).pop(0)
+        conn.close()
+        return True
+
+    def close(self) -> None:
+        for conn in self.slots:
+            conn.close()
--- /dev/null
+++ b/umberlead/net/discovery.py
@@ -0,0 +1,146 @@
+"""Discovery's watch: a stream of changes, reopened with back-off when it breaks or falls silent."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+from umberlead.config import Address, ConfigError, Listing, listing_of
+from umberlead.core.counters import Counters
+from umberlead.core.wheel import Wheel
+
+SILENCE = 5_000_000  # us without even an empty line, of which one comes every 2 s
+FIRST, LAST = 100_000, 2_000_000  # us of back-off
+LINE_MOST = 4 << 20
+
+
+class _Stream(asyncio.Protocol):
+    def __init__(self, watch: "Watch") -> None:
+        self.watch = watch
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.buffer = b""
+        self.status = 0
+        self.dead = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.dead:
+            self.transport.abort()
+            return
+        target = b"/v1/servers?watch=1&after=%d" % self.watch.index
+        host = b"%s:%d" % (self.watch.address[0].encode(), self.watch.address[1])
+        self.transport.writelines([b"GET ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n\r\n"])
+
+    def data_received(self, data: bytes) -> None:
+        if self.dead:
+            return
+        self.watch.heard()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.end("malformed")
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        if self.status != 200 or self.dead:
+            return
+        *lines, self.buffer = (self.buffer + body).split(b"\n")
+        for line in lines:
+            if line.strip():
+                self.watch.line(line)
+        if len(self.buffer) > LINE_MOST:
+            self.end("line too long")
+
+    def on_message_complete(self) -> None:
+        self.end("ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end("lost")
+
+    def end(self, why: str) -> None:
+        if not self.dead:
+            self.dead = True
+            if self.transport is not None:
+                self.transport.abort()
+            self.watch.broken(why)
+
+
+class Watch:
+    """Keeps the last list through every break; `told` gets what is new."""
+
+    def __init__(
+        self,
+        address: Address,
+        known: Listing,
+        loop: asyncio.AbstractEventLoop,
+        wheel: Wheel,
+        clock: Callable[[], int],
+        counters: Counters,
+        log: Callable[..., Any],
+        told: Callable[[Listing], None],
+    ) -> None:
+        self.address, self.index, self.told = address, known.index, told
+        self.loop, self.wheel, self.clock, self.counters, self.log = loop, wheel, clock, counters, log
+        self.stream: _Stream | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.pause = FIRST
+        self.last = 0
+        self.closed = False
+
+    def open(self) -> None:
+        if self.closed:
+            return
+        self.last = self.clock()
+        stream = self.stream = _Stream(self)
+        self.task = self.loop.create_task(self._dial(stream))
+        self.wheel.after(SILENCE, self._check, stream)
+
+    async def _dial(self, stream: _Stream) -> None:
+        try:
+            await self.loop.create_connection(lambda: stream, *self.address)
+        except OSError:
+            stream.end("refused")
+
+    def _check(self, stream: _Stream) -> None:
+        """A cut-off discovery says nothing at all: silence is the only sign."""
+        if stream.dead:
+            return
+        if self.clock() - self.last >= SILENCE:
+            if self.task is not None:
+                self.task.cancel()
+            stream.end("silent")
+        else:
+            self.wheel.at(self.last + SILENCE, self._check, stream)
+
+    def heard(self) -> None:
+        self.last, self.pause = self.clock(), FIRST
+
+    def line(self, line: bytes) -> None:
+        try:
+            listing = listing_of(json.loads(line))
+        except (ConfigError, ValueError) as fault:
+            self.counters.add("discovery_lines_malformed")
+            self.log("discovery_line_malformed", why=str(fault))
+            return
+        self.counters.add("discovery_updates")
+        self.index = listing.index
+        self.told(listing)
+
+    def broken(self, why: str) -> None:
+        if not self.closed:
+            self.counters.add("discovery_breaks")
+            self.log("discovery_broken", why=why)
+            self.wheel.after(self.pause, self.open)
+            self.pause = min(self.pause * 2, LAST)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.task is not None:
+            self.task.cancel()
+        if self.stream is not None:
+            self.stream.end("closed")
--- /dev/null
+++ b/umberlead/net/http.py
@@ -0,0 +1,312 @@
+"""The server's side of an HTTP/1.1 connection, shared by the fronts: parsing, limits, replies."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol, cast
+
+import httptools
+
+from umberlead.core.counters import Counters
+from umberlead.core.slots import Slots
+
+HEAD_MOST = 16 * 1024
+WAITING_MOST = 8  # whole requests that a client may send ahead of their answers
+LINGER = 1_000_000  # us a connection is read on after an answer that ends it, so that the answer arrives
+HEAD_TIME = 10_000_000  # us a client may take over a request it has begun
+
+REASONS = {
+    200: b"OK", 204: b"No Content", 206: b"Partial Content", 304: b"Not Modified", 400: b"Bad Request",
+    403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 411: b"Length Required", 412: b"Precondition Failed", 413: b"Content Too Large",
+    416: b"Range Not Satisfiable", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+}  # fmt: skip
+
+
+@dataclass(slots=True)
+class Message:
+    """One whole request."""
+
+    method: bytes = b""
+    target: bytes = b""
+    headers: dict[bytes, bytes] = field(default_factory=dict)  # names in lower case
+    body: bytes = b""
+    keep_alive: bool = True
+    received: int = 0
+
+    def split(self) -> tuple[bytes, bytes]:
+        path, _, query = self.target.partition(b"?")
+        return path, query
+
+
+class Handler(Protocol):
+    body_most: int
+
+    def request(self, conn: "ServerConnection", message: Message) -> None:
+        """Answer it, now or later, once."""
+
+    def gone(self, conn: "ServerConnection") -> None:
+        """The client left while its request was open."""
+
+    def bad(self, conn: "ServerConnection", status: int, why: str) -> None:
+        """Answer what could not be read."""
+
+
+class Clients:
+    """The connections of one listener in their slots, their cap, and the memory of request bodies."""
+
+    def __init__(
+        self, most: int, clock: Callable[[], int], counters: Counters, idle: int, memory: int
+    ) -> None:
+        self.most, self.clock, self.counters, self.idle = most, clock, counters, idle
+        self.memory, self.held = memory, 0
+        self.slots: Slots[ServerConnection] = Slots()
+        self.draining = False
+
+    def sweep(self) -> None:
+        """Close what has stood too long: lingering, half sent, or idle."""
+        now = self.clock()
+        for conn in self.slots:
+            if conn.since + conn.patience(self.idle) <= now:
+                conn.expire()
+
+    def drain(self) -> None:
+        self.draining = True
+        for conn in self.slots:
+            conn.close_if_idle()
+
+    def make_room(self) -> None:
+        """At the cap the connection idle for longest goes: its client opens another when it needs one."""
+        idle = [c for c in self.slots if c.idle()]
+        if len(self.slots) > self.most and idle:
+            self.counters.add("clients_evicted")
+            min(idle, key=lambda c: c.since).close_if_idle()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client's connection: a request at a time, in the order they came."""
+
+    def __init__(self, handler: Handler, clients: Clients) -> None:
+        self.handler, self.clients = handler, clients
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.parser = httptools.HttpRequestParser(self)
+        self.slot = -1
+        self.message: Message | None = None  # being read
+        self.open: Message | None = None  # being answered
+        self.waiting: deque[Message] = deque()
+        self.ended = False  # nothing more is read or answered
+        self.closing = False  # closes after the answer
+        self.lost = False
+        self.since = 0  # when its present state began
+        self.context: Any = None  # the handler's own
+        self._head = self._size = self._lines = 0
+        self._in_head = False
+        self._parts: list[bytes] = []
+        self._writable: asyncio.Future[None] | None = None
+        self._paused = False
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=256 * 1024)
+        self.slot = self.clients.slots.add(self)
+        self.since = self.clients.clock()
+        self.clients.counters.add("clients_accepted")
+        self.clients.make_room()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        self.clients.slots.free(self.slot)
+        self._unhold(self.message)
+        for message in self.waiting:
+            self._unhold(message)
+        self.waiting.clear()
+        self._wake()
+        if self.open is not None:
+            self._unhold(self.open)
+            self.open = None
+            self.handler.gone(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.ended:
+            return
+        if self._in_head or self.message is None:
+            self._head += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.ended:
+                self.refuse(400, "this is not HTTP/1.1 as it is spoken here")
+            return
+        if self._in_head and not self.ended and self._head > HEAD_MOST:
+            self.refuse(431, f"a head may have {HEAD_MOST} bytes")
+
+    def eof_received(self) -> bool:
+        return False  # a client that ends its sending counts as gone, as one that closes does
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    async def writable(self) -> bool:
+        """Wait until the client has read enough; False if it left."""
+        while self._paused and not self.lost:
+            self._writable = asyncio.get_running_loop().create_future()
+            await self._writable
+        return not self.lost
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        self.message, self._parts, self._size, self._in_head = Message(), [], 0, True
+        self._lines = 0
+        if self.open is None:
+            self.since = self.clients.clock()
+
+    def on_url(self, url: bytes) -> None:
+        if self.message is not None:
+            self.message.target += url
+            self._lines += len(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.message is not None:
+            self.message.headers[name.lower()] = value
+            self._lines += len(name) + len(value) + 4
+
+    def on_headers_complete(self) -> None:
+        message = self.message
+        if message is None or self.ended:
+            return
+        self._in_head = False
+        if self._lines > HEAD_MOST:
+            return self.refuse(431, f"a head may have {HEAD_MOST} bytes")
+        length = message.headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self.handler.body_most:
+            return self.refuse(413, f"a body may have {self.handler.body_most} bytes")
+        if message.headers.get(b"expect", b"").lower() == b"100-continue" and self.open is None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if self.message is None or self.ended:
+            return
+        self._size += len(body)
+        self.clients.held += len(body)
+        self._parts.append(body)
+        if self._size > self.handler.body_most:
+            self.refuse(413, f"a body may have {self.handler.body_most} bytes")
+        elif self.clients.held > self.clients.memory:
+            self.clients.counters.add("bodies_over_memory")
+            self.refuse(503, "too many bodies are held at present")
+
+    def on_message_complete(self) -> None:
+        message = self.message
+        if message is None or self.ended:
+            return
+        self.message, self._head = None, 0
+        message.method = self.parser.get_method()
+        message.body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        message.keep_alive = self.parser.should_keep_alive()
+        message.received = self.clients.clock()
+        self._parts = []
+        self.waiting.append(message)
+        if len(self.waiting) > WAITING_MOST:
+            self.refuse(400, "too many requests sent ahead")
+        self._next()
+
+    # Answers
+
+    def _next(self) -> None:
+        if self.open is None and self.waiting and not self.ended and not self.lost:
+            self.open = self.waiting.popleft()
+            if not self.open.keep_alive or self.clients.draining:
+                self.closing = True
+            self.handler.request(self, self.open)
+        if self.waiting:
+            self.transport.pause_reading()
+
+    def _unhold(self, message: Message | None) -> None:
+        if message is not None and message is self.message:
+            self.clients.held -= self._size
+            self._parts = []
+        elif message is not None:
+            self.clients.held -= len(message.body)
+            message.body = b""
+
+    def refuse(self, status: int, why: str) -> None:
+        """What can't be read is answered, and the connection ends with that."""
+        self._unhold(self.message)
+        self.message, self.ended, self.closing = None, True, True
+        self.clients.counters.add(f"bad_requests_{status}")
+        if self.open is None and not self.lost:
+            self.handler.bad(self, status, why)
+
+    def head(self, status: int, headers: Iterable[bytes], length: int | None) -> list[bytes]:
+        """The pieces of an answer's head."""
+        parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
+        parts += [h + b"\r\n" for h in headers]
+        if length is not None:
+            parts.append(b"Content-Length: %d\r\n" % length)
+        parts.append(b"Connection: close\r\n\r\n" if self.closing else b"\r\n")
+        return parts
+
+    def reply(self, status: int, headers: Iterable[bytes], body: bytes, length: int | None = None) -> None:
+        """A whole answer to the open request. `length` stands in for the body's where none is sent."""
+        if self.lost:
+            return
+        size = len(body) if length is None else length
+        parts = self.head(status, headers, None if status in (204, 304) else size)
+        parts.append(body)
+        self.transport.writelines(parts)
+        self.finished()
+
+    def finished(self) -> None:
+        """The answer is out: the next request's turn."""
+        self._unhold(self.open)
+        self.open = None
+        self.since = self.clients.clock()
+        if self.lost:
+            return
+        if self.closing or self.clients.draining:
+            self.ended = True
+            self.waiting.clear()
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+            return
+        self._next()
+        if not self.waiting and not self.transport.is_reading():
+            self.transport.resume_reading()
+
+    # States
+
+    def idle(self) -> bool:
+        return self.open is None and self.message is None and not self.waiting and not self.ended
+
+    def close_if_idle(self) -> None:
+        if self.idle():
+            self.ended = True
+            self.transport.close()
+
+    def patience(self, idle: int) -> int:
+        if self.open is not None:
+            return 1 << 62
+        if self.ended:
+            return LINGER
+        if self.message is not None:
+            return HEAD_TIME
+        return idle or 1 << 62
+
+    def expire(self) -> None:
+        if self.message is not None and not self.ended:
+            self.refuse(408, "the request did not come whole in time")
+        else:
+            self.transport.close()
