--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -16,6 +16,7 @@
 
 Address = tuple[str, int]
 
+TABLES = ("name", "listen", "discovery", "seed", "limits", "known", "settings", "objects", "plugins", "log")
 EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
 STATES = {"ready": i.NodeState.UP, "draining": i.NodeState.DRAINING, "gone": i.NodeState.GONE}
 
@@ -340,21 +341,9 @@
         got = tomllib.loads(file.read_text())
     except (OSError, ValueError) as fault:
         raise ConfigError("UMBERLEAD_CONFIG", str(fault)) from None
-    allowed = {
-        "name",
-        "listen",
-        "discovery",
-        "seed",
-        "limits",
-        "known",
-        "settings",
-        "objects",
-        "plugins",
-        "log",
-    }
     for key in got:
-        if key not in allowed:
-            raise ConfigError(key, f"is unknown; known are {', '.join(sorted(allowed))}")
+        if key not in TABLES:
+            raise ConfigError(key, f"is unknown; known are {', '.join(TABLES)}")
     k, log, hooks = Keys(got), Keys(got).table("log"), Keys(got).table("plugins")
     settings = flat(k.table("settings").got)
     common = _common(k, settings, got.get("known"))
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -47,12 +47,8 @@
         raise BadRequest("X-Budget or X-IO is out of range")
     if WORD.fullmatch(volume) is None:
         raise BadRequest("X-IO: volume must be hex digits")
-    out = Outgoing(
-        message.method,
-        message.target,
-        [name + got[key] for key, name in PASSED_ON if key in got],
-        message.body,
-    )
+    passed = [name + got[key] for key, name in PASSED_ON if key in got]
+    out = Outgoing(message.method, message.target, passed, message.body)
     # The budget counts from the client's sending: the margin is for the way here and back.
     give_up = message.received + max(int(budget * 1e6) - margin, 0)
     return Ask(
