--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -16,6 +16,8 @@
 from umberlead.core.engine import Engine
 from umberlead.core.interface import NodeList
 from umberlead.core.wheel import Wheel
+from umberlead.fronts.ledger import Ledger
+from umberlead.fronts.objects import ObjectFront
 from umberlead.fronts.platform import PlatformFront
 from umberlead.net.attempts import Pool
 from umberlead.net.discovery import Watch
@@ -24,9 +26,9 @@
 from umberlead.telemetry import Syslog, logger
 
 SPARE = 48  # descriptors for listeners, discovery, logging and the interpreter itself
-ACCEPTING = 500_000  # us after SIGTERM in which new connections are still taken
+ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
 SWEEP = 500_000
-BODY_MEMORY = 48 << 20
+BODY_MEMORY = 32 << 20  # of request bodies held for the platform's clients
 
 
 def module_clock() -> Callable[[], int]:
@@ -68,10 +70,13 @@
             self.pool.addresses[endpoint.node.node] = endpoint.address
         self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
 
-    async def listen(self, handler: Handler, address: config.Address) -> None:
+    def clients(self, memory: int) -> Clients:
         share = self.clients_most // (2 if self.conf.listen and self.conf.objects else 1)
-        clients = Clients(share, self.clock, self.counters, self.conf.client_idle, BODY_MEMORY)
-        self.groups.append(clients)
+        made = Clients(share, self.clock, self.counters, self.conf.client_idle, memory)
+        self.groups.append(made)
+        return made
+
+    async def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
         server = await self.loop.create_server(
             lambda: ServerConnection(handler, clients), *address, backlog=1024
         )
@@ -89,7 +94,14 @@
             )  # fmt: skip
             self.watch.open()
         if conf.listen is not None:
-            await self.listen(PlatformFront(self.engine, conf.retry_after, conf.margin), conf.listen)
+            front = PlatformFront(self.engine, conf.retry_after, conf.margin)
+            await self.listen(front, self.clients(BODY_MEMORY), conf.listen)
+        if conf.objects is not None:
+            clients = self.clients(conf.objects.memory)
+            of = conf.objects
+            ledger = Ledger(conf.name, conf.seed, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
+            objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log.warning)
+            await self.listen(objects, clients, of.listen)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
@@ -118,7 +130,8 @@
             server.close()
         for clients in self.groups:
             clients.drain()
-        self.sweep()
+        longest = max(c.deadline for c in self.conf.settings.classes)
+        self.wheel.after(longest + ACCEPTING, self.done.set)  # clients that never read or leave
 
     def report(self) -> None:
         self.log.info("counters", open=len(self.engine.tickets), **self.counters.report())
