Draw upload ids and block names from the system's randomness and free completed uploads

Two fronts that start alike would have drawn the same block names from a seed (Ledger.nonce). A complete upload held its place in the ledger until it idled out; now the oldest goes first when room is needed.

--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -99,7 +99,7 @@
         if conf.objects is not None:
             clients = self.clients(conf.objects.memory)
             of = conf.objects
-            ledger = Ledger(conf.name, conf.seed, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
+            ledger = Ledger(conf.name, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
             objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log.warning)
             await self.listen(objects, clients, of.listen)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
--- a/umberlead/fronts/ledger.py
+++ b/umberlead/fronts/ledger.py
@@ -5,7 +5,7 @@
 one that another front, or an earlier life of this one, gave out stands in no ledger here and is refused."""
 
 import hashlib
-import random
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -43,21 +43,23 @@
 
 
 class Ledger:
-    def __init__(
-        self, front: str, seed: int, clock: Callable[[], int], most: int, parts_most: int, idle: int
-    ) -> None:
+    def __init__(self, front: str, clock: Callable[[], int], most: int, parts_most: int, idle: int) -> None:
         self.clock, self.most, self.parts_most, self.idle = clock, most, parts_most, idle
-        self.chance = random.Random(f"{seed}/{clock()}")
         name = hashlib.blake2b(front.encode(), digest_size=4).hexdigest()
         self.life = f"{name}-{clock():x}"  # the front and its start
         self.uploads: dict[str, Upload] = {}
         self.count = 0
 
     def nonce(self) -> str:
-        return f"{self.chance.getrandbits(96):024x}"
+        """A name never used before: two fronts that start alike must not write the same blocks."""
+        return secrets.token_hex(12)
 
     def create(self, bucket: str, key: str, headers: dict[str, str], retry_after: int) -> Upload:
         self.expire()
+        # Complete ones are only kept to answer a retried completion: once out, their ids are refused.
+        complete = [u for u in self.uploads.values() if u.state is State.DONE]
+        if len(self.uploads) >= self.most and complete:
+            del self.uploads[min(complete, key=lambda u: u.touched).id]
         if len(self.uploads) >= self.most:
             raise S3Error("SlowDown", "too many uploads are open at this front", retry_after)
         self.count += 1
@@ -69,9 +71,7 @@
         upload = self.uploads.get(upload_id)
         if upload is None or (upload.bucket, upload.key) != (bucket, key):
             ours = upload_id.startswith(self.life + "-")
-            why = (
-                "it is over or was never made" if ours else "another front, or an earlier life of it, made it"
-            )
+            why = "it is over" if ours else "another front made it, or an earlier life of this one"
             raise S3Error("NoSuchUpload", f"this front does not hold the upload: {why}")
         upload.touched = self.clock()
         return upload
@@ -90,9 +90,9 @@
         elif part.state is State.BUSY:
             raise S3Error("OperationAborted", f"part {number} is being stored by an earlier request")
         elif (part.digest, part.size) != (digest, size):
-            raise S3Error(
-                "OperationAborted", f"part {number} was sent before with other content; use another number"
-            )
+            if part.state is State.DONE or part.stored:
+                raise S3Error("OperationAborted", f"part {number} holds other content: use another number")
+            part = upload.parts[number] = Part(digest, size, self.nonce())  # nothing of the old one ran
         return part
 
     def expire(self) -> None:
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -254,6 +254,7 @@
         most = self.engine.settings.max_units
         size = self.conf.block if body is None else len(body)
         units = min(max(math.ceil(size / self.conf.unit_bytes), 1), int(most) or 1)
+        hosts = self.engine.settings.heads
         self.count += 1
         out = Outgoing(
             b"GET" if body is None else b"PUT",
@@ -261,15 +262,13 @@
             [
                 b"X-Call-Id: " + digest("call", self.ledger.life, str(self.count)).encode(),
                 b"X-Plan: " + call.plan.encode(),
-                f"X-IO: volume={volume},units={units},shard={shard},hosts={self.engine.settings.heads}".encode(),
+                f"X-IO: volume={volume},units={units},shard={shard},hosts={hosts}".encode(),
             ],
             body or b"",
             SERVED_READ if body is None else frozenset((200,)),
         )
         until = min(give_up, self.engine.clock() + cls.deadline)
-        ask = Ask(
-            op.class_name, call.plan, volume, block, shard, units, until, out, self.engine.settings.heads
-        )
+        ask = Ask(op.class_name, call.plan, volume, block, shard, units, until, out, hosts)
         ticket: Ticket = self.engine.take(ask, done)
         try:
             return await ended
@@ -515,7 +514,8 @@
     def _multipart(spans: list[ranges.Range], boundary: str, kind: str, size: int) -> list[Any]:
         segments: list[Any] = []
         for begin, end in spans:
-            head = f"--{boundary}\r\nContent-Type: {kind}\r\nContent-Range: bytes {begin}-{end - 1}/{size}\r\n\r\n"
+            span = f"Content-Range: bytes {begin}-{end - 1}/{size}"
+            head = f"--{boundary}\r\nContent-Type: {kind}\r\n{span}\r\n\r\n"
             segments += [head.encode("latin-1"), (begin, end), b"\r\n"]
         return [*segments, f"--{boundary}--\r\n".encode()]
 
@@ -540,7 +540,7 @@
         self, call: Call, found: Manifest, status: int, headers: list[bytes], segments: list[Any], length: int
     ) -> None:
         """Up to `buffer` bytes are there before the head goes out, so what fails until then is one clear
-        answer. The rest goes window by window; if one fails, the connection breaks off short of its length."""
+        answer. The rest goes window by window; if one fails, the connection breaks off short of the end."""
         conn, conf = call.conn, self.conf
         op = conf.bulk if length > conf.bulk_over else conf.read
         with Held(self.clients, min(length, conf.buffer) + conf.parallel * conf.block, self.retry_after):
