--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -30,6 +30,7 @@
 SERVED_READ = frozenset((200, 404))  # a chunk server answers 404 for a block it does not hold
 BUCKET = re.compile(r"[a-z0-9][a-z0-9.-]{1,61}[a-z0-9]")
 IGNORED = {"x-id"}  # SDKs name the operation there
+CONDITIONS = frozenset((b"if-match", b"if-none-match", b"if-modified-since", b"if-unmodified-since"))
 BOUNDARY = "umberlead-{}"
 
 Piece = tuple[str, int, int, int]  # block, first byte and the one after the last within it, its whole size
@@ -208,6 +209,8 @@
             raise S3Error(
                 "NotImplemented", "signed chunks are not read here: send the body as it is, unsigned"
             )
+        if call.message.method in (b"PUT", b"DELETE") and not CONDITIONS.isdisjoint(call.message.headers):
+            raise S3Error("NotImplemented", "writes take no conditions here")  # ignored, they would lose data
         if call.header(b"x-amz-copy-source"):
             raise S3Error("NotImplemented", "objects are not copied here")
         routes = {
