--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -22,7 +22,6 @@
 import asyncio
 import os
 import re
-import shlex
 import signal
 import tomllib
 from collections import Counter
@@ -129,7 +128,7 @@
             elif line[:2] in ("| ", "= ", "~ ", "@ ") or line == "|":
                 self.steps[-1][1].append(line)
             elif line.strip() and not line.startswith("#"):
-                self.steps.append((shlex.split(line), []))
+                self.steps.append((line.split(maxsplit=2) if line.startswith("set ") else line.split(), []))
         self.names: dict[str, bytes] = {}
         self.nodes: dict[str, Node] = {}
         self.peers: dict[str, Peer] = {}
@@ -246,6 +245,7 @@
                 await peer.more("the end")
             assert peer.got == b"", peer.got
         else:
+            self.new: set[str] = set()
             pattern = re.compile(b"".join(self._bytes(line, True) for line in lines), re.S)
             while (match := pattern.match(peer.got)) is None:
                 assert not peer.ended, f"ended with {peer.got[:2000]!r}, not {pattern.pattern[:2000]!r}"
@@ -265,7 +265,10 @@
                 word, name = self.names[name], ""
             if not expected:
                 out += word
+            elif name in self.new:
+                out += b"(?P=%s)" % name.encode()
             elif name:
+                self.new.add(name)
                 out += rb"(?P<%s>[^\r\n<\" ]+)" % name.encode()
             else:
                 out += re.escape(word)
--- /dev/null
+++ b/tests/exchanges/hooks/hangs.py
@@ -0,0 +1,6 @@
+API = 1
+
+
+def request_taken(request):
+    while True:
+        pass
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,181 @@
+"""What no exchange shows: the wheel, slots, syslog lines, ranges, and messages on bad configuration."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from umberlead import config
+from umberlead.core.counters import Counters
+from umberlead.core.slots import Slots
+from umberlead.core.wheel import Wheel
+from umberlead.fronts import ranges
+from umberlead.fronts.objects import Manifest
+from umberlead.telemetry import Syslog, rfc5424
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Alarm:
+    def __init__(self, clock: "Clock", at: int, what: Callable[[], None]) -> None:
+        self.clock, self.at, self.what = clock, at, what
+        clock.alarms.append(self)
+
+    def cancel(self) -> None:
+        self.clock.alarms.remove(self)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now, self.alarms = 1_000_000, list[Alarm]()
+
+    def run(self, until: int) -> None:
+        while due := [a for a in self.alarms if a.at <= until]:
+            first = min(due, key=lambda a: a.at)
+            self.alarms.remove(first)
+            self.now = max(self.now, first.at)
+            first.what()
+
+
+class TestWheel(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock, self.log = Clock(), list[tuple[int, str]]()
+        clock = self.clock
+        self.wheel = Wheel(lambda: clock.now, lambda d, f: Alarm(clock, clock.now + d, f), 2000)
+
+    def note(self, name: str) -> None:
+        self.log.append((self.clock.now, name))
+
+    def test_order_is_by_tick_then_as_set(self) -> None:
+        for when, name in ((1_005_000, "c"), (1_000_500, "a"), (1_006_000, "d"), (1_001_900, "b")):
+            self.wheel.at(when, self.note, name)
+        self.wheel.at(1_003_000, self.note, "off").cancel()
+        self.clock.run(1_010_000)
+        self.assertEqual(self.log, [(1_002_000, "a"), (1_002_000, "b"), (1_006_000, "c"), (1_006_000, "d")])
+
+    def test_one_alarm_is_set_however_often_it_is_overtaken(self) -> None:
+        for when in range(1_900_000, 1_100_000, -50_000):
+            self.wheel.at(when, self.note, "x")
+        self.assertEqual(len(self.clock.alarms), 1)
+
+    def test_what_a_deadline_sets_comes_later_and_one_that_raises_stops_no_other(self) -> None:
+        def fail() -> None:
+            self.wheel.at(0, self.note, "next")
+            raise ZeroDivisionError
+
+        self.wheel.at(1_001_000, fail)
+        self.wheel.at(1_001_000, self.note, "same")
+        with self.assertRaises(ZeroDivisionError):
+            self.clock.run(1_010_000)
+        self.clock.run(1_010_000)
+        self.assertEqual(self.log, [(1_002_000, "same"), (1_004_000, "next")])
+
+
+class TestSlots(unittest.TestCase):
+    def test_numbers_are_used_again_and_freed_once(self) -> None:
+        slots: Slots[str] = Slots()
+        self.assertEqual([slots.add("a"), slots.add("b")], [0, 1])
+        slots.free(0)
+        self.assertEqual((slots.add("c"), list(slots), slots.get(7)), (0, ["c", "b"], None))
+        slots.free(1)
+        self.assertRaises(KeyError, slots.free, 1)
+
+
+class TestSyslog(unittest.TestCase):
+    def test_line_is_rfc_5424_with_escaped_structured_data(self) -> None:
+        when = datetime(2026, 2, 3, 4, 5, 6, 7000, UTC)
+        line = rfc5424("warning", when, "h", "umberlead", 9, "link lost", {"a b": 'x"]\\', "n": 1})
+        head = "<132>1 2026-02-03T04:05:06.007000Z h umberlead 9 link_lost "
+        self.assertEqual(line, head + r'[umberlead@32473 a_b="x\"\]\\" n="1"] link lost')
+
+    def test_collector_gets_octet_counted_frames_and_a_dead_one_holds_nothing_up(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, socket.socket(socket.AF_UNIX) as server:
+            server.bind(f"{folder}/log")
+            server.listen()
+            log = Syslog(f"unix://{folder}/log", Counters())
+            log.put("one é")
+            log.put("two")
+            peer, _ = server.accept()
+            log.close(5)
+            with peer, peer.makefile("rb") as lines:
+                self.assertEqual(lines.read(13), "6 one é3 two".encode())
+        counters = Counters()
+        dead = Syslog("unix:///nowhere/at/all", counters)
+        for _ in range(2100):
+            dead.put("x")
+        self.assertGreaterEqual(counters["log_lines_dropped"], 99)
+
+
+class TestRanges(unittest.TestCase):
+    def test_headers(self) -> None:
+        for header, want in {
+            "bytes=0-0": [(0, 1)], "bytes=5-": [(5, 10)], "bytes=-3": [(7, 10)], "bytes=-99": [(0, 10)],
+            "bytes=2-99": [(2, 10)], "bytes=10-": [], "bytes=-0": [], "bytes=0-1, 8-9": [(0, 2), (8, 10)],
+            "bytes=0-1,20-": [(0, 2)], "bytes=3-2": None, "bytes=a-b": None, "lines=0-1": None,
+            "bytes=": None, "bytes=-": None, "bytes=0-,0-": None, "bytes=" + ",".join(["0-0"] * 33): None,
+        }.items():  # fmt: skip
+            self.assertEqual(ranges.parse(header, 10), want, header)
+        self.assertEqual(ranges.parse("bytes=0-", 0), [])
+
+    def test_pieces_cover_every_range_once(self) -> None:
+        made = Manifest("b", "k", 25, "", 0, 4, [("p", 10), ("q", 3), ("r", 12)])
+        content = {p[0]: p for p in made.pieces(0, 25)}
+        self.assertEqual(sum(p[3] for p in content.values()), 25)
+        for begin in range(25):
+            for end in range(begin + 1, 26):
+                got = list(made.pieces(begin, end))
+                self.assertEqual(sum(hi - lo for _, lo, hi, _ in got), end - begin)
+                self.assertTrue(all(0 <= lo < hi <= whole for _, lo, hi, whole in got))
+
+
+class TestConfig(unittest.TestCase):
+    def load(self, change: Callable[[dict[str, Any]], object]) -> config.Config:
+        got = tomllib.loads((ROOT / "tests" / "exchanges" / "base.toml").read_text())
+        got = {"listen": got["listen"], "settings": got["settings"], "discovery": "127.0.0.1:1"}
+        change(got)
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(got, file)
+            file.flush()
+            return config.load({"EDGE_CONFIG": file.name, "EDGE_NAME": "n7"})
+
+    def test_message_names_the_faulty_key(self) -> None:
+        self.assertEqual(self.load(lambda _: None).name, "n7")
+        for key, change in {
+            "settings.grades.0.aim": lambda c: c["settings"]["grades"][0].update(aim="soon"),
+            "settings.grades.1.name": lambda c: c["settings"]["grades"][1].pop("name"),
+            "settings.grades.1.effect": lambda c: c["settings"]["grades"][1].update(effect="often"),
+            "settings.bounds.maxAttempts": lambda c: c["settings"]["bounds"].update(maxAttempts=0),
+            "settings": lambda c: c["settings"].update(plans=[]),
+            "listen": lambda c: c.update(listen="here"),
+            "limits.sockets": lambda c: c.update(limits={"sockets": 3}),
+            "seed": lambda c: c.update(seed="xyz"),
+            "known.endpoints.0.address": lambda c: c.update(known={"endpoints": [{"name": "s"}]}),
+            "discovery": lambda c: c.pop("discovery"),
+        }.items():
+            with self.assertRaises(config.ConfigError) as caught:
+                self.load(change)
+            self.assertEqual(caught.exception.key, key)
+
+    def test_operators_file_is_sound_and_a_wrong_one_ends_the_program(self) -> None:
+        path = ROOT / "deploy" / "objects.toml"
+        made = config.load({"UMBERLEAD_CONFIG": str(path)})
+        self.assertEqual(made.objects and made.objects.buckets, {"scans": "priority", "exports": "basic"})
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(path.read_text().replace('class = "image-read"', 'class = "none"'))
+            file.flush()
+            env = os.environ | {"UMBERLEAD_CONFIG": file.name}
+            ran = subprocess.run([sys.executable, "-m", "umberlead"], cwd=ROOT, env=env, capture_output=True)
+        self.assertEqual(ran.returncode, 2)
+        self.assertIn(b"objects.read.class: is no class of the settings", ran.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
