--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -72,7 +72,7 @@
 
     def clients(self, memory: int) -> Clients:
         share = self.clients_most // (2 if self.conf.listen and self.conf.objects else 1)
-        made = Clients(share, self.clock, self.counters, self.conf.client_idle, memory)
+        made = Clients(share, self.clock, self.counters, self.conf.client_idle, memory, self.log.error)
         self.groups.append(made)
         return made
 
--- a/umberlead/fronts/ledger.py
+++ b/umberlead/fronts/ledger.py
@@ -26,7 +26,7 @@
     size: int
     nonce: str
     state: State = State.OPEN
-    stored: set[int] = field(default_factory=set)  # numbers of the blocks known to be stored
+    stored: int = 0  # a bit for each block known to be stored
 
 
 @dataclass(slots=True)
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -315,14 +315,14 @@
     async def _store(self, call: Call, op: Operation, part: Part, body: bytes) -> State:
         """The part's blocks that are not stored yet; each goes out once at most in its life."""
         blocks = -(-len(body) // self.conf.block)
-        todo = [k for k in range(blocks) if k not in part.stored]
+        todo = [k for k in range(blocks) if not part.stored >> k & 1]
         part.state = State.BUSY
         state = State.DOUBTFUL  # what it stays if this is cut off
         try:
             for at in range(0, len(todo), self.conf.parallel):
                 batch = todo[at : at + self.conf.parallel]
                 got = await asyncio.gather(*(self._block(call, op, part, k, body) for k in batch))
-                part.stored.update(k for k, ended in zip(batch, got, strict=True) if ended is State.DONE)
+                part.stored |= sum(1 << k for k, ended in zip(batch, got, strict=True) if ended is State.DONE)
                 if State.DOUBTFUL in got:
                     return state
                 if State.OPEN in got:
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -58,8 +58,15 @@
     """The connections of one listener in their slots, their cap, and the memory of request bodies."""
 
     def __init__(
-        self, most: int, clock: Callable[[], int], counters: Counters, idle: int, memory: int
+        self,
+        most: int,
+        clock: Callable[[], int],
+        counters: Counters,
+        idle: int,
+        memory: int,
+        log: Callable[..., Any],
     ) -> None:
+        self.log = log
         self.most, self.clock, self.counters, self.idle = most, clock, counters, idle
         self.memory, self.held = memory, 0
         self.slots: Slots[ServerConnection] = Slots()
@@ -77,9 +84,10 @@
         for conn in self.slots:
             conn.close_if_idle()
 
-    def make_room(self) -> None:
-        """At the cap the connection idle for longest goes: its client opens another when it needs one."""
-        idle = [c for c in self.slots if c.idle()]
+    def make_room(self, newcomer: "ServerConnection") -> None:
+        """At the cap the connection idle for longest goes: its client opens another when it needs one. Never
+        the newcomer, idle as it looks: its request is on the way."""
+        idle = [c for c in self.slots if c.idle() and c is not newcomer]
         if len(self.slots) > self.most and idle:
             self.counters.add("clients_evicted")
             min(idle, key=lambda c: c.since).close_if_idle()
@@ -115,15 +123,13 @@
         self.slot = self.clients.slots.add(self)
         self.since = self.clients.clock()
         self.clients.counters.add("clients_accepted")
-        self.clients.make_room()
+        self.clients.make_room(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.clients.slots.free(self.slot)
         self._unhold(self.message)
-        for message in self.waiting:
-            self._unhold(message)
-        self.waiting.clear()
+        self._drop_waiting()
         self._wake()
         if self.open is not None:
             self._unhold(self.open)
@@ -200,6 +206,8 @@
         if self.message is None or self.ended:
             return
         self._size += len(body)
+        if self.open is None:
+            self.since = self.clients.clock()  # a slow upload that moves is none that hangs
         self.clients.held += len(body)
         self._parts.append(body)
         if self._size > self.handler.body_most:
@@ -227,10 +235,20 @@
 
     def _next(self) -> None:
         if self.open is None and self.waiting and not self.ended and not self.lost:
-            self.open = self.waiting.popleft()
-            if not self.open.keep_alive or self.clients.draining:
+            if len(self.clients.slots) > self.clients.most:
+                # No idle connection was left to make room: this one is served no further, and told so.
+                self.refuse(503, "too many connections")
+                return
+            message = self.open = self.waiting.popleft()
+            if not message.keep_alive or self.clients.draining:
                 self.closing = True
-            self.handler.request(self, self.open)
+            try:
+                self.handler.request(self, message)
+            except Exception as fault:  # the parser would pass it off as the client's mistake
+                self.clients.counters.add("unexpected_errors")
+                self.clients.log("request_broke", why=repr(fault))
+                if self.open is message:
+                    self.reply(500, (), b"the front failed\n")
         if self.waiting:
             self.transport.pause_reading()
 
@@ -242,6 +260,10 @@
             self.clients.held -= len(message.body)
             message.body = b""
 
+    def _drop_waiting(self) -> None:
+        while self.waiting:  # each gives its memory back: dropped with a bare clear, it stayed counted
+            self._unhold(self.waiting.popleft())
+
     def refuse(self, status: int, why: str) -> None:
         """What can't be read is answered, and the connection ends with that."""
         self._unhold(self.message)
@@ -278,7 +300,7 @@
             return
         if self.closing or self.clients.draining:
             self.ended = True
-            self.waiting.clear()
+            self._drop_waiting()
             if self.transport.can_write_eof():
                 self.transport.write_eof()
             return
