--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -112,6 +112,7 @@
         for _ in range(2100):
             dead.put("x")
         self.assertGreaterEqual(counters["log_lines_dropped"], 99)
+        dead.close(0)
 
 
 class TestRanges(unittest.TestCase):
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -25,7 +25,7 @@
 from umberlead.plugins import Plugins
 from umberlead.telemetry import Syslog, logger
 
-SPARE = 48  # descriptors for listeners, discovery, logging and the interpreter itself
+SPARE = 32  # descriptors for listeners, discovery, logging and the interpreter itself
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
 SWEEP = 500_000
 BODY_MEMORY = 32 << 20  # of request bodies held for the platform's clients
@@ -47,10 +47,11 @@
         self.log = logger(conf.name, conf.log_level, self.syslog)
         self.clock = module_clock()
         self.wheel = Wheel(self.clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), conf.tick)
-        hooks = Plugins(conf.plugins, conf.plugin_limit, self.counters, self.log.warning)
+        trace = self.log.debug if conf.log_level == "debug" else None
+        hooks = Plugins(conf.plugins, conf.plugin_limit, self.counters, self.log.warning, trace)
         self.engine = Engine(
             conf.settings, conf.seed, self.clock, self.wheel, loop.call_soon, self.counters, self.log.error,
-            hooks if hooks.plugins else None,
+            hooks if hooks.plugins or trace else None,
         )  # fmt: skip
         most = conf.sockets - SPARE
         self.clients_most = most // 2
@@ -100,7 +101,7 @@
             clients = self.clients(conf.objects.memory)
             of = conf.objects
             ledger = Ledger(conf.name, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
-            objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log.warning)
+            objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log)
             await self.listen(objects, clients, of.listen)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -120,7 +120,7 @@
         ledger: Ledger,
         clients: Clients,
         retry_after: int,
-        log: Callable[..., Any],
+        log: Any,
     ) -> None:
         self.conf, self.engine, self.ledger, self.clients = conf, engine, ledger, clients
         self.retry_after, self.log = retry_after, log
@@ -153,7 +153,7 @@
         self._error(conn, conn.message or Message(), fault, "")
 
     async def _serve(self, conn: ServerConnection, message: Message, request: str) -> None:
-        call = None
+        conn.status = conn.length = 0
         try:
             call = self._call(conn, message, request)
             await self._route(call)(call)
@@ -163,9 +163,16 @@
                 self._error(conn, message, fault, request)
         except Exception as fault:
             self.engine.counters.add("objects_unexpected_errors")
-            self.log("object_request_broke", why=repr(fault), target=message.target.decode("latin-1"))
+            self.log.error("object_request_broke", why=repr(fault), target=message.target.decode("latin-1"))
             if conn.open is message:
                 self._error(conn, message, S3Error("InternalError", "the front failed"), request)
+        finally:  # status 0: the client left first
+            took = (self.engine.clock() - message.received) / 1000
+            path, method = message.split()[0].decode("latin-1"), message.method.decode()
+            self.log.info(
+                "object_request", request=request, method=method, path=path, status=conn.status,
+                bytes=conn.length, ms=round(took, 1),
+            )  # fmt: skip
 
     def _error(self, conn: ServerConnection, message: Message, fault: S3Error, request: str) -> None:
         path = message.split()[0].decode("latin-1")
@@ -566,7 +573,7 @@
                     conn.transport.write(window)
             except S3Error as fault:
                 self.engine.counters.add("objects_reads_broken_off")
-                self.log("object_read_broken_off", why=fault.message, request=call.id)
+                self.log.warning("object_read_broken_off", why=fault.message, request=call.id)
                 conn.transport.abort()
                 return
             conn.finished()
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -109,6 +109,7 @@
         self.lost = False
         self.since = 0  # when its present state began
         self.context: Any = None  # the handler's own
+        self.status = self.length = 0  # of the latest answer
         self._head = self._size = self._lines = 0
         self._in_head = False
         self._parts: list[bytes] = []
@@ -274,6 +275,7 @@
 
     def head(self, status: int, headers: Iterable[bytes], length: int | None) -> list[bytes]:
         """The pieces of an answer's head."""
+        self.status, self.length = status, length or 0
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
         parts += [h + b"\r\n" for h in headers]
         if length is not None:
--- a/umberlead/plugins.py
+++ b/umberlead/plugins.py
@@ -48,8 +48,14 @@
     """The engine's hooks, handed on to every script that is still enabled, in the order they are named."""
 
     def __init__(
-        self, paths: tuple[Path, ...], limit: int, counters: Counters, log: Callable[..., Any]
+        self,
+        paths: tuple[Path, ...],
+        limit: int,
+        counters: Counters,
+        log: Callable[..., Any],
+        trace: Callable[..., Any] | None = None,
     ) -> None:
+        self.trace = trace  # where every answer is told, with the notes that scripts made
         self.limit, self.counters, self.log = limit, counters, log
         self.plugins = [Plugin(p, f"plugins.scripts.{n}") for n, p in enumerate(paths)]
         self._in_hook = False
@@ -115,3 +121,9 @@
         for plugin in self.plugins:
             told = {"kind": answer.kind.value, "reason": answer.reason, "attempts": ticket.tries}
             self._call(plugin, "answer", self._request(ticket), told)
+        if self.trace is not None:
+            ask = ticket.ask
+            self.trace(
+                "answered", id=ticket.id, cls=ask.class_name, plan=ask.plan, kind=answer.kind.value,
+                attempts=ticket.tries, **{f"note_{k}": v for k, v in ticket.notes.items()},
+            )  # fmt: skip
