Let a retried part wait for the earlier request that is still storing it

A client that times out and asks again met 409 while its first request was still out, and client libraries give up on that. The retry now waits, within its own time, for the one result (objects._earlier); the part goes out once, as tests/exchanges/objects_retry.txt shows. The memory reserved for a small read is now near what it needs, so that many can run at once.

--- a/umberlead/fronts/ledger.py
+++ b/umberlead/fronts/ledger.py
@@ -4,6 +4,7 @@
 It is bounded by uploads and by parts in each. An upload's id names the front and the moment of its start:
 one that another front, or an earlier life of this one, gave out stands in no ledger here and is refused."""
 
+import asyncio
 import hashlib
 import secrets
 from collections.abc import Callable
@@ -26,6 +27,7 @@
     size: int
     nonce: str
     state: State = State.OPEN
+    waiting: list[asyncio.Future[bool]] = field(default_factory=list)  # retries that wait for its end
     stored: int = 0  # a bit for each block known to be stored
 
 
@@ -77,7 +79,7 @@
         return upload
 
     def part(self, upload: Upload, number: int, digest: str, size: int) -> Part:
-        """The part, ready to be sent, or done already; an error if it must not go out."""
+        """The part, ready to be sent, busy or done; an error if it must not go out."""
         if upload.state is not State.OPEN:
             raise S3Error("OperationAborted", "the upload is being completed, or is complete")
         if not 1 <= number <= self.parts_most:
@@ -87,10 +89,8 @@
             part = upload.parts[number] = Part(digest, size, self.nonce())
         elif part.state is State.DOUBTFUL:
             raise doubtful(number)
-        elif part.state is State.BUSY:
-            raise S3Error("OperationAborted", f"part {number} is being stored by an earlier request")
         elif (part.digest, part.size) != (digest, size):
-            if part.state is State.DONE or part.stored:
+            if part.state is not State.OPEN or part.stored:
                 raise S3Error("OperationAborted", f"part {number} holds other content: use another number")
             part = upload.parts[number] = Part(digest, size, self.nonce())  # nothing of the old one ran
         return part
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -9,11 +9,10 @@
 import hashlib
 import json
 import math
-import re
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from email.utils import formatdate
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import parse_qs, quote, unquote_to_bytes
 
 from umberlead.config import Objects, Operation
@@ -28,11 +27,11 @@
 META_MOST = 2048  # bytes of a client's own x-amz-meta- headers
 READ_TIME = 60_000_000  # us a client may take over what was written to it
 SERVED_READ = frozenset((200, 404))  # a chunk server answers 404 for a block it does not hold
-BUCKET = re.compile(r"[a-z0-9][a-z0-9.-]{1,61}[a-z0-9]")
 IGNORED = {"x-id"}  # SDKs name the operation there
 CONDITIONS = frozenset((b"if-match", b"if-none-match", b"if-modified-since", b"if-unmodified-since"))
 BOUNDARY = "umberlead-{}"
 
+T = TypeVar("T")
 Piece = tuple[str, int, int, int]  # block, first byte and the one after the last within it, its whole size
 
 
@@ -41,6 +40,12 @@
     return hashlib.blake2b("\0".join(words).encode(), digest_size=8).hexdigest()
 
 
+def settle(future: asyncio.Future[T], value: T) -> None:
+    """Unless whoever waited has left."""
+    if not future.done():
+        future.set_result(value)
+
+
 @dataclass(slots=True)
 class Manifest:
     bucket: str
@@ -253,11 +258,6 @@
     async def _ask(self, call: Call, op: Operation, block: str, body: bytes | None, give_up: int) -> Answer:
         """One chunk server request; a body makes it a write."""
         ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-
-        def done(answer: Answer) -> None:
-            if not ended.done():
-                ended.set_result(answer)
-
         cls = self.engine.classes[op.class_name]
         volume = digest("volume", call.bucket)
         shard = int(digest("shard", call.bucket, call.key), 16) % self.conf.shards
@@ -279,7 +279,7 @@
         )
         until = min(give_up, self.engine.clock() + cls.deadline)
         ask = Ask(op.class_name, call.plan, volume, block, shard, units, until, out, hosts)
-        ticket: Ticket = self.engine.take(ask, done)
+        ticket: Ticket = self.engine.take(ask, lambda answer: settle(ended, answer))
         try:
             return await ended
         except asyncio.CancelledError:
@@ -339,6 +339,8 @@
             return state
         finally:
             part.state = state
+            for waiting in part.waiting:
+                settle(waiting, True)
 
     async def _block(self, call: Call, op: Operation, part: Part, k: int, body: bytes) -> State:
         piece = body[k * self.conf.block : (k + 1) * self.conf.block]
@@ -405,6 +407,10 @@
             raise S3Error("InvalidArgument", "partNumber must be a number")
         upload = self.ledger.find(call.query["uploadId"], call.bucket, call.key)
         part = self.ledger.part(upload, int(number), md5, len(body))
+        while part.state is State.BUSY and await self._earlier(call, part):
+            part = self.ledger.part(upload, int(number), md5, len(body))
+        if part.state is State.BUSY:
+            raise S3Error("OperationAborted", f"part {int(number)} is being stored by an earlier request")
         if part.state is not State.DONE:
             state = await self._store(call, self.conf.upload, part, body)
             if state is State.DOUBTFUL:
@@ -415,6 +421,18 @@
             self.engine.counters.add("objects_parts_answered_from_ledger")
         call.conn.reply(200, (b'ETag: "%s"' % md5.encode(),), b"")
 
+    async def _earlier(self, call: Call, part: Part) -> bool:
+        """Wait for the earlier request that stores the part, whose client lost patience; False if it goes on
+        beyond this one's time."""
+        ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        part.waiting.append(ended)
+        timer = self.engine.wheel.at(call.give_up, settle, ended, False)
+        try:
+            return await ended
+        finally:
+            timer.cancel()
+            part.waiting = [w for w in part.waiting if w is not ended]
+
     async def _complete(self, call: Call) -> None:
         upload = self.ledger.find(call.query["uploadId"], call.bucket, call.key)
         listed = s3.completed_parts(call.message.body)
@@ -553,7 +571,8 @@
         answer. The rest goes window by window; if one fails, the connection breaks off short of the end."""
         conn, conf = call.conn, self.conf
         op = conf.bulk if length > conf.bulk_over else conf.read
-        with Held(self.clients, min(length, conf.buffer) + conf.parallel * conf.block, self.retry_after):
+        held = min(length, conf.buffer) + min(length + conf.block, conf.parallel * conf.block)
+        with Held(self.clients, held, self.retry_after):
             windows = self._windows(call, op, found, segments)
             first: list[bytes] = []
             size = 0
