--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -17,7 +17,7 @@
 
 Below a step, `| text` is a line with its CRLF, `~ text` one with LF alone, `= text` one with
 neither, and `@ BEGIN END` those bytes of the test's content; `% N LINE` is N such lines. In what is
-expected {name} stands for any word, the same in all places."""
+expected {name} stands for any word, the same in all places, and {~} for the rest of a line."""
 
 import asyncio
 import os
@@ -259,12 +259,14 @@
             return re.escape(raw) if expected else raw
         raw = line[2:].encode() + {"|": b"\r\n", "~": b"\n"}.get(line[0], b"")
         out = b""
-        for word in re.split(rb"(\{[\w.]+\})", raw):
+        for word in re.split(rb"(\{[\w.]+\}|\{~\})", raw):
             name = word[1:-1].decode() if word[:1] == b"{" and len(word) > 2 else ""
             if name and name in self.names:
                 word, name = self.names[name], ""
             if not expected:
                 out += word
+            elif name == "~":
+                out += rb"[^\r\n]+"
             elif name in self.new:
                 out += b"(?P=%s)" % name.encode()
             elif name:
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -118,6 +118,8 @@
 
 
 class ObjectFront:
+    dated = True
+
     def __init__(
         self,
         conf: Objects,
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -60,6 +60,7 @@
     """Translates, and decides nothing."""
 
     body_most = BODY_MOST
+    dated = False  # the platform asks for no header
 
     def __init__(self, engine: Engine, retry_after: int, margin: int) -> None:
         self.engine, self.margin = engine, margin
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from email.utils import formatdate
 from typing import Any, Protocol, cast
 
 import httptools
@@ -43,6 +44,7 @@
 
 class Handler(Protocol):
     body_most: int
+    dated: bool  # its answers carry a Date
 
     def request(self, conn: "ServerConnection", message: Message) -> None:
         """Answer it, now or later, once."""
@@ -277,6 +279,8 @@
         """The pieces of an answer's head."""
         self.status, self.length = status, length or 0
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
+        if self.handler.dated:
+            parts.append(b"Date: %s\r\n" % formatdate(self.clients.clock() / 1e6, usegmt=True).encode())
         parts += [h + b"\r\n" for h in headers]
         if length is not None:
             parts.append(b"Content-Length: %d\r\n" % length)
