--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -2,6 +2,7 @@
 and clients. A text file holds one exchange, a step a line:
 
     set KEY VALUE          a key of tests/exchanges/base.toml, before the front starts
+    patch MODULE NAME N    a constant of a module, before the front starts
     node NAME SHARD        a chunk server that stores blocks; SHARD:script, one that plays what the file says;
                            SHARD:down, one that nobody listens for
     discovery              a scripted discovery in place of the known list
@@ -25,6 +26,7 @@
 import signal
 import tomllib
 from collections import Counter
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -133,6 +135,7 @@
         self.nodes: dict[str, Node] = {}
         self.peers: dict[str, Peer] = {}
         self.servers: list[Any] = []
+        self.patches = ExitStack()
         self.fresh: Counter[str] = Counter()
         self.conf = tomllib.loads((FOLDER / "base.toml").read_text())
         self.front: Front | None = None
@@ -149,6 +152,7 @@
                 except AssertionError as fault:
                     raise AssertionError(f"step {' '.join(words)}: {fault}") from None
         finally:
+            self.patches.close()
             if self.front is not None:
                 self.task.cancel()
                 self.front.end()
@@ -186,6 +190,8 @@
                 for name in path:
                     table = table[int(name)] if isinstance(table, list) else table.setdefault(name, {})
                 table[last] = tomllib.loads(f"v = {value}")["v"]
+            case ["patch", module, name, value]:
+                self.patches.enter_context(mock.patch(f"{module}.{name}", int(value)))
             case ["node", name, shard]:
                 address = await self._listen(name, ":script" in shard)
                 if ":down" in shard:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from tests.test_parts import Alarm, Clock
 from umberlead.core import interface as api
@@ -9,6 +10,7 @@
 from umberlead.core.engine import Answer, Ask, Attempt, Engine, Kind
 from umberlead.core.interface import Effect, Result
 from umberlead.core.wheel import Wheel
+from umberlead.net.attempts import NodeConnection, Outgoing
 
 SETTINGS = api.Settings(
     classes=(
@@ -103,6 +105,20 @@
         self.engine.ended(self.sent[0], Result.TIMEOUT)
         self.assertEqual(len(self.engine.tickets), 0)
 
+    def test_a_break_proves_that_nothing_ran_only_before_the_last_byte_is_handed_over(self) -> None:
+        for steps, want in (("", Result.RESET), ("pause", Result.NO_LINK), ("pause resume", Result.RESET)):
+            transport, pool = mock.Mock(), mock.Mock(clock=lambda: 0, host=b"")
+            transport.is_closing.return_value = False
+            conn = NodeConnection(pool, ("h", 1))
+            conn.attempt = mock.Mock(give_up=0)
+            conn.attempt.ticket.ask.payload = Outgoing(b"PUT", b"/x", [], b"body")
+            transport.writelines.side_effect = lambda _, c=conn, s=steps: s and c.pause_writing()
+            conn.connection_made(transport)
+            if "resume" in steps:
+                conn.resume_writing()
+            conn.connection_lost(None)
+            self.assertEqual(pool.engine.ended.call_args.args[1], want, steps)
+
 
 if __name__ == "__main__":
     unittest.main()
