--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -110,7 +110,7 @@
             transport, pool = mock.Mock(), mock.Mock(clock=lambda: 0, host=b"")
             transport.is_closing.return_value = False
             conn = NodeConnection(pool, ("h", 1))
-            conn.attempt = mock.Mock(give_up=0)
+            conn.attempt = mock.Mock(give_up=0, sent=0)
             conn.attempt.ticket.ask.payload = Outgoing(b"PUT", b"/x", [], b"body")
             transport.writelines.side_effect = lambda _, c=conn, s=steps: s and c.pause_writing()
             conn.connection_made(transport)
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -57,7 +57,7 @@
         self.clients_most = most // 2
         self.pool = Pool(
             self.engine, loop, self.wheel, self.clock, self.counters, most - self.clients_most,
-            conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal",
+            conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal", self.log.info,
         )  # fmt: skip
         self.engine.carrier = self.pool
         self.servers: list[asyncio.Server] = []
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
@@ -47,6 +47,7 @@
         self.slot = -1
         self.idle_since = 0
         self.closed = False
+        self.fault = ""  # why no connection came up
         self._paused = False
         self._reset_answer()
 
@@ -172,6 +173,11 @@
         if attempt is not None:
             if self.why is not None:
                 result = self.why if self.written else Result.NO_LINK
+            if result is Result.NO_LINK:
+                took = (self.pool.clock() - attempt.sent) // 1000
+                state = "dialling" if self.transport is None else "writing"
+                why = self.why.value if self.why else self.fault or "broken"
+                self.pool.log("link_failed", node=attempt.node, state=state, why=why, ms=took)
             self.pool.engine.ended(attempt, result)
 
     def give_up(self, why: Result) -> None:
@@ -180,6 +186,11 @@
             self.why = why
             self.close()
 
+    def not_up(self) -> None:
+        self.fault = "not up in time"
+        self.pool.counters.add("node_connections_timed_out")
+        self.close()
+
     def close(self) -> None:
         if self.closed:
             return
@@ -233,7 +244,9 @@
         link_timeout: int,
         keepalive: int,
         service: str,
+        log: Callable[..., Any],
     ) -> None:
+        self.log = log
         self.engine, self.loop, self.wheel, self.clock, self.counters = engine, loop, wheel, clock, counters
         self.most, self.link_timeout, self.idle_time = most, link_timeout, int(keepalive * IDLE_PART)
         self.host = b"Host: %s\r\n" % service.encode()
@@ -257,14 +270,15 @@
             return
         conn = NodeConnection(self, address)
         conn.slot, conn.attempt, attempt.carried = self.slots.add(conn), attempt, conn
-        conn.timer = self.wheel.after(self.link_timeout, conn.close)
+        conn.timer = self.wheel.after(self.link_timeout, conn.not_up)
         conn.dial = self.loop.create_task(self._dial(conn))
         conn.dial.add_done_callback(conn.dial_ended)
 
     async def _dial(self, conn: NodeConnection) -> None:
         try:
             await self.loop.create_connection(lambda: conn, *conn.address)
-        except OSError:
+        except OSError as fault:
+            conn.fault = fault.strerror or type(fault).__name__
             self.counters.add("node_connections_failed")
 
     def stop(self, attempt: Attempt, why: Result) -> None:
