--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -68,7 +68,8 @@
 
     def told(self, listing: config.Listing) -> None:
         for endpoint in listing.endpoints:
-            self.pool.addresses[endpoint.node.node] = endpoint.address
+            if endpoint.address is not None:
+                self.pool.addresses[endpoint.node.node] = endpoint.address
         self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
 
     def clients(self, memory: int) -> Clients:
--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -7,7 +7,7 @@
 import json
 import os
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -198,7 +198,7 @@
     """A chunk server as discovery's form tells of it."""
 
     node: i.Node
-    address: Address
+    address: Address | None  # what is not ready may come without one
 
 
 def endpoint_of(got: Any, key: str) -> Endpoint:
@@ -211,6 +211,8 @@
         shard=k.whole("group", -1, -1),
         started=k.whole("since_ms", 0) * 1000,
     )
+    if node.state is not i.NodeState.UP and k.raw("address") is None:
+        return Endpoint(node, None)
     return Endpoint(node, k.address("address"))
 
 
@@ -223,16 +225,20 @@
     endpoints: tuple[Endpoint, ...]
 
 
-def listing_of(got: Any, key: str = "discovery") -> Listing:
+def listing_of(got: Any, key: str = "discovery", bad: Callable[[ConfigError], None] | None = None) -> Listing:
+    """With `bad`, an entry that can't be read is told to it and passed by: the others still count."""
     if not isinstance(got, dict):
         raise ConfigError(key, "must be a table")
     k = Keys(got, key)
-    entries = k.items("endpoints")
-    return Listing(
-        k.whole("index", 0),
-        k.flag("snapshot", True),
-        tuple(endpoint_of(e, f"{key}.endpoints.{n}") for n, e in enumerate(entries)),
-    )
+    endpoints = []
+    for n, entry in enumerate(k.items("endpoints")):
+        try:
+            endpoints.append(endpoint_of(entry, f"{key}.endpoints.{n}"))
+        except ConfigError as fault:
+            if bad is None:
+                raise
+            bad(fault)
+    return Listing(k.whole("index", 0), k.flag("snapshot", True), tuple(endpoints))
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from umberlead.config import Address, ConfigError, Listing, listing_of
+from umberlead.config import Address, Listing, listing_of
 from umberlead.core.counters import Counters
 from umberlead.core.wheel import Wheel
 
@@ -122,15 +122,19 @@
 
     def line(self, line: bytes) -> None:
         try:
-            listing = listing_of(json.loads(line))
-        except (ConfigError, ValueError) as fault:
-            self.counters.add("discovery_lines_malformed")
-            self.log("discovery_line_malformed", why=str(fault))
+            listing = listing_of(json.loads(line), bad=self._malformed)
+        except ValueError as fault:  # a ConfigError too
+            self._malformed(fault)
             return
         self.counters.add("discovery_updates")
         self.index = listing.index
         self.told(listing)
 
+    def _malformed(self, fault: ValueError) -> None:
+        """One odd entry must not hide that another drains."""
+        self.counters.add("discovery_entries_malformed")
+        self.log("discovery_malformed", why=str(fault))
+
     def broken(self, why: str) -> None:
         if not self.closed:
             self.counters.add("discovery_breaks")
