Count a node's mean time by the size of the request, as the overdue check already does

NodeView.answer fed elapsed / target into the node's mean whatever the request's size, while NodeView.overdue multiplies that mean by the size again: an answer of six units counted as a node three times too slow, and pump then held or refused what would have been in time.

--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -110,3 +110,14 @@
             lane.tag(volume)
     assert left[:4] == [("a", 0.0), ("b", 0.0), ("c", 0.0), ("a", 4.0)]
     assert [v for v, _ in left[4:]] == ["b", "c", "a"] and [s for _, s in left[4:]] == [8.0, 8.0, 8.0]
+
+
+def test_a_nodes_mean_time_counts_a_large_answer_by_its_size() -> None:
+    """A large read is no sign of a slow node: taken for one, calm days refused a sixth of their requests."""
+    means = []
+    for units, elapsed in ((2.0, 120_000), (6.0, 360_000)):
+        h = head()
+        feed(h, T0, ask("r", units=units))
+        feed(h, T0 + 400_000, end("r", elapsed=elapsed))
+        means.append(h.nodes["n0"].level.read(T0 + 400_000))
+    assert np.isclose(means[0], means[1])
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -139,7 +139,7 @@
             self.passed, self.cold_until = max(self.passed, tried.at), self.cold_until - tried.cold
         self.out = max(self.out - units, 0.0)
         if result in (Result.OK, Result.ERROR, Result.TIMEOUT):
-            self.level.learn(now, elapsed / self.target)
+            self.level.learn(now, elapsed / self.target / max(tried.size / one, 1.0))  # see overdue
             if elapsed > self.target:
                 self.bound = max(self.bound - CUT * min(elapsed / self.target - 1, 1.0) * units, one)
             elif pressed:
--- a/umberlead/core/records.py
+++ b/umberlead/core/records.py
@@ -14,6 +14,10 @@
     at: int
     units: float  # under the node's bound; none once written off
     cold: float  # us of the cold node's rest that its being served gives back
+    size: float = field(init=False)  # units of the request, written off or not
+
+    def __post_init__(self) -> None:
+        self.size = self.units
 
 
 @dataclass(slots=True, eq=False)
