Lower the object front's memory default so that its peak stays well under 192 MB

Measured on the real process with stand-in stores and a client library: five uploads of 40 MiB in parts of 8 MiB, four at a time each, then read back and compared. With memory_bytes at 48 MiB the peak was 146 MB, too near the limit with both fronts on. All contents matched; 26 bodies over the share were refused with 503 and came again.

--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -420,7 +420,7 @@
         upload_idle=k.whole("upload_idle_s", 3600, 1) * 1_000_000,
         unit_bytes=k.whole("unit_bytes", 32768, 1),
         parallel=k.whole("parallel", 4, 1, 32),
-        memory=k.whole("memory_bytes", 48 << 20, 1 << 20, 96 << 20),
+        memory=k.whole("memory_bytes", 32 << 20, 1 << 20, 64 << 20),
     )
 
 
