--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -88,6 +88,9 @@
 
     async def run(self) -> None:
         conf = self.conf
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self.loop.add_signal_handler(signal.SIGINT, self.stop)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.told(conf.known)
         if conf.discovery is not None:
             self.watch = Watch(
@@ -104,9 +107,6 @@
             ledger = Ledger(conf.name, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
             objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log)
             await self.listen(objects, clients, of.listen)
-        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self.loop.add_signal_handler(signal.SIGINT, self.stop)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.sweep()
         gc.collect()
         gc.freeze()  # what the start made stays: later collections pass it by
