--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -17,7 +17,8 @@
     signal NAME, ends      a signal to the process; the front comes to its end
 
 Below a step, `| text` is a line with its CRLF, `~ text` one with LF alone, `= text` one with
-neither, and `@ BEGIN END` those bytes of the test's content; `% N LINE` is N such lines. In what is
+neither, and `@ BEGIN END` those bytes of the test's content; `% N LINE` is N such lines, and
+`& NAME first / second` the lines that base.defs has under that name. In what is
 expected {name} stands for any word, the same in all places, and {~} for the rest of a line."""
 
 import asyncio
@@ -41,6 +42,20 @@
 CONTENT = bytes((i * 131 + (i >> 8) * 17 + (i >> 16)) & 0xFF for i in range(1 << 18))
 
 
+def _defined(line: str) -> list[str]:
+    """The lines that base.defs gives for `& NAME first / second ...`."""
+    if not line.startswith("& "):
+        return [line]
+    name, _, rest = line[2:].partition(" ")
+    text = (FOLDER / "base.defs").read_text()
+    found = re.search(rf"^{name}\n((?:[|=~@&].*\n)+)", text, re.M)
+    assert found is not None, f"base.defs has no {name}"
+    block = found[1]
+    for number, value in enumerate(rest.split(" / "), 1):
+        block = block.replace(f"${number}", value)
+    return [line for inner in block.splitlines() for line in _defined(inner)]
+
+
 class Peer(asyncio.Protocol):
     """One end of a connection, read as the exchange goes."""
 
@@ -127,6 +142,8 @@
             if line.startswith("% "):  # so many times the line behind it
                 number, again = line[2:].split(" ", 1)
                 self.steps[-1][1].extend([again] * int(number))
+            elif line.startswith("& "):
+                self.steps[-1][1].extend(_defined(line))
             elif line[:2] in ("| ", "= ", "~ ", "@ ") or line == "|":
                 self.steps[-1][1].append(line)
             elif line.strip() and not line.startswith("#"):
