Add the operators' door, marks by hand, and a hand-over between two processes of one front

Now: umberlead/fronts/control.py on the clients' server class, with places of its own from limits.py; figures counted where the core answers and where an attempt's last byte is handed to the system; ByHand, an event to the module, whose one choice of nodes passes by what is out; umberlead/shared.py for the marks and for who lives beside this process, which halve the limits; SO_REUSEPORT where that is shared; a listener that closes first takes what the system has accepted, and puts TCP_DEFER_ACCEPT off before.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -7,7 +7,7 @@
                            SHARD:down, one that nobody listens for
     discovery              a scripted discovery in place of the known list; moves NAME, another, which the
                            configuration names from here on
-    client NAME FRONT      a connection to the `platform` or `objects` front
+    client NAME FRONT      a connection to the `platform` or `objects` front, or to `control`
     NAME >  /  NAME <      sends, or expects, the lines below it
     NAME next WORD ...     how a storing chunk server ends its next requests: ok, full, error, reset, stall,
                            missing; one that stalls or resets has run the request
@@ -225,7 +225,8 @@
                 self.conf["discovery"] = await self._listen("discovery", True)
             case ["client", name, which]:
                 front = await self._start()
-                port = front.servers[which == "objects"].address[1]
+                listener = front.doors[0][0] if which == "control" else front.servers[which == "objects"]
+                port = listener.address[1]
                 loop = asyncio.get_running_loop()
                 _, self.peers[name] = await loop.create_connection(Peer, "127.0.0.1", port)
             case ["moves", name]:
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -17,12 +17,14 @@
 from umberlead.core.engine import Engine
 from umberlead.core.interface import NodeList, NodeState
 from umberlead.core.wheel import Wheel
+from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
-from umberlead.limits import deal, held
+from umberlead.limits import BODY_MOST, deal, held
 from umberlead.net.attempts import IDLE_PART, Pool
 from umberlead.net.discovery import Watch
 from umberlead.net.http import Clients, Handler, Listener
 from umberlead.plugins import Plugins
+from umberlead.shared import Shared
 from umberlead.telemetry import Syslog, logger
 
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
@@ -64,6 +66,11 @@
         self.servers: list[Listener] = []
         self.groups: list[Clients] = []
         self.handlers: list[Handler] = []
+        self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
+        self.shared, self.processes = Shared(conf.state), 1
+        if self.shared.fault:
+            self.log.warning("nothing_shared", why=self.shared.fault)
+        self.marks: dict[str, int] = {}  # chunk servers out by hand
         self.watch: Watch | None = None
         self.done = asyncio.Event()
         self.told_to_stop = self.stopping = False
@@ -81,7 +88,9 @@
 
     def limit(self) -> None:
         """The caps that follow from the configuration, at the start and with each reload."""
-        conf, of = self.conf, deal(self.conf.sockets, self.conf.memory, *self.held)
+        conf = self.conf
+        # Two processes of a front have one front's limits between them.
+        of = deal(conf.sockets // self.processes, conf.memory // self.processes, *self.held)
         self.pool.most, self.pool.memory, self.pool.head_most = of.nodes, of.answers, of.head
         self.pool.answer_most = of.answer
         self.pool.idle_time = int(conf.keepalive * IDLE_PART)
@@ -89,18 +98,38 @@
         for group in self.groups:
             group.most, group.idle = max(of.clients // len(self.groups), 1), conf.client_idle
             group.memory, group.head_most = of.bodies // len(self.groups), of.head
+        for _, group in self.doors:
+            group.most, group.memory, group.head_most = of.doors, BODY_MOST, of.head
         if conf.objects is not None:  # the operator's own cap holds below that
             self.groups[-1].memory = min(self.groups[-1].memory, conf.objects.memory)
         for handler in self.handlers:
             handler.retry_after = self.conf.retry_after
 
+    def look(self) -> None:
+        """What other processes of this front, and calls at their doors, have changed."""
+        processes, marks = 1 + self.shared.others(), self.shared.marks()
+        if processes != self.processes:
+            self.log.info("processes", now=processes, before=self.processes)
+            self.processes = processes
+            self.limit()
+        for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
+            self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
+            self.engine.by_hand(node, node in marks, marks.get(node, 0))
+        self.marks = marks
+
+    def mark(self, node: str, out: bool) -> None:
+        """An operator's call: it holds once it is answered."""
+        self.shared.mark(node, out)
+        self.look()
+
     def clients(self) -> Clients:
         made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
         self.groups.append(made)
         return made
 
     def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
-        listener = Listener(handler, clients, address, self.loop)
+        share = self.shared.root is not None
+        listener = Listener(handler, clients, address, self.loop, share)
         self.servers.append(listener)
         self.log.info("listening", address=":".join(map(str, listener.address)))
 
@@ -132,6 +161,13 @@
             objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log)
             ready.append((objects, clients, of.listen))
         self.handlers = [handler for handler, _, _ in ready]
+        if conf.management is not None:
+            door = Clients(0, self.clock, self.counters, conf.client_idle, 0, self.log.error)
+            control = ControlFront(
+                self.engine, lambda: bool(self.servers) and not self.told_to_stop, self.mark
+            )
+            self.doors.append((Listener(control, door, conf.management, self.loop), door))
+        self.look()
         self.limit()
         for handler, group, address in ready:
             self.listen(handler, group, address)
@@ -146,12 +182,14 @@
         await self.done.wait()
 
     def sweep(self) -> None:
+        self.look()
         self.pool.sweep()
-        for clients in self.groups:
+        for clients in [*self.groups, *(group for _, group in self.doors)]:
             clients.sweep()
-        for server in self.servers:
+        for server in [*self.servers, *(door for door, _ in self.doors)]:
             server.resume()
-        if self.stopping and not len(self.engine.tickets) and not any(len(c.slots) for c in self.groups):
+        leaving = self.stopping or not any(s.open or s.coming for s in self.servers)
+        if leaving and not len(self.engine.tickets) and not any(len(c.slots) for c in self.groups):
             self.done.set()
         self.wheel.after(SWEEP, self.sweep)
 
@@ -181,6 +219,10 @@
             return
         self.told_to_stop = True
         self.log.info("stopping", open=len(self.engine.tickets))
+        for server in self.servers:
+            server.hurry()
+        for clients in self.groups:
+            clients.leaving = self.processes > 1  # what is closed here comes back to the other process
         longest = max(c.deadline for c in self.conf.settings.classes)
         kill = min(longest, KILL_MOST) + KILL_MORE
         self.wheel.after(ACCEPTING, self.close)
@@ -215,6 +257,9 @@
         if self.watch is not None:
             self.watch.close()
         self.pool.close()
+        for door, _ in self.doors:
+            door.close()
+        self.shared.leave()
         self.report()
         self.syslog.close()
 
--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -16,7 +16,19 @@
 
 Address = tuple[str, int]
 
-TABLES = ("name", "listen", "discovery", "seed", "limits", "known", "settings", "objects", "plugins", "log")
+TABLES = (
+    "name",
+    "listen",
+    "management",
+    "discovery",
+    "seed",
+    "limits",
+    "known",
+    "settings",
+    "objects",
+    "plugins",
+    "log",
+)
 EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
 STATES = {"ready": i.NodeState.UP, "draining": i.NodeState.DRAINING, "gone": i.NodeState.GONE}
 
@@ -283,6 +295,8 @@
     known: Listing
     listen: Address | None = None
     discovery: Address | None = None
+    management: Address | None = None  # the operators' door
+    state: Path | None = None  # what this process and the one that replaces it share
     objects: Objects | None = None
     sockets: int = 1024
     memory: int = 192 << 20
@@ -332,7 +346,10 @@
         raise ConfigError("EDGE_CONFIG", str(fault)) from None
     if not isinstance(got, dict):
         raise ConfigError("EDGE_CONFIG", "must hold an object")
-    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
+    for variable, key in (
+        ("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery"),
+        ("EDGE_MANAGEMENT", "management"),
+    ):  # fmt: skip
         if variable in env and got.get(key) is None:
             got[key] = env[variable]  # the file is the newer word: it may be replaced while the front runs
     k = Keys(got)
@@ -341,6 +358,8 @@
         name=k.text("name", "front"),
         listen=k.address("listen"),
         discovery=k.address("discovery"),
+        management=k.address("management") if k.raw("management") is not None else None,
+        state=Path(env["TMPDIR"]) / "umberlead" if env.get("TMPDIR") else None,
         **_common(k, settings, got.get("known")),
     )
 
@@ -371,6 +390,7 @@
         name=k.text("name", "front"),
         listen=k.address("listen") if "listen" in got else None,
         discovery=k.address("discovery") if "discovery" in got else None,
+        management=k.address("management") if "management" in got else None,
         objects=_objects(k.table("objects"), settings, common["settings"]) if "objects" in got else None,
         plugins=scripts,
         plugin_limit=int(hooks.num("limit_ms", 5, 0.1, 1000) * 1000),
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from itertools import count
 
 import numpy as np
@@ -239,6 +240,8 @@
         self.items: dict[str, Item] = {}
         self.nodes: dict[str, NodeView] = {}
         self.by_shard: dict[int, dict[str, None]] = {}
+        self.taken_out: dict[str, int] = {}  # by hand, and when
+        self.put_back: dict[str, tuple[int, int]] = {}  # taken out, and back again: restarted in between
         self.lanes: dict[int, Lane] = {}
         self.volumes: dict[str, Volume] = {}
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
@@ -269,6 +272,8 @@
                 self.at(now + INTERVAL, lambda: self.acts.append(api.Follow()))
             elif isinstance(event, api.ClientGone) and event.request in self.items:
                 self.conclude(self.items[event.request])
+            elif isinstance(event, api.ByHand):
+                self.by_hand(event)
         while self.due and self.due[0][0] <= now:
             _, _, what, args = heapq.heappop(self.due)
             what(*args)
@@ -305,7 +310,10 @@
                 if view is not None:
                     self.by_shard[view.info.shard].pop(name)
                     self.nodes.pop(name).info = node
+                self.put_back.pop(name, None)
                 continue
+            if name in self.put_back and node.started < self.put_back[name][0]:
+                node = replace(node, started=self.put_back[name][1])  # of before its restart
             if view is not None and node.started <= view.info.started:
                 view.info = node
             else:
@@ -315,10 +323,30 @@
             self.by_shard.setdefault(node.shard, {})[name] = None
             self.dirty |= {node.shard: None, -1: None}
 
+    def by_hand(self, e: api.ByHand) -> None:
+        """Out, it gets nothing whatever the list says. It is restarted in that time and comes back cold,
+        which the list may tell late: until it does, it counts as started when it was put back."""
+        if e.out:
+            self.taken_out.setdefault(e.node, e.at)
+        elif (since := self.taken_out.pop(e.node, None)) is not None and (view := self.nodes.get(e.node)):
+            if view.info.started < since:
+                self.put_back[e.node] = (since, self.now)
+                info = replace(view.info, started=self.now)
+                self.nodes[e.node] = NodeView(
+                    info, self.s, self.fleet, self.born, self.now, self.chance.random()
+                )
+            self.dirty |= {view.info.shard: None, -1: None}
+
+    def pool(self) -> tuple[int, int]:
+        """Nodes listed, and those of them left out, by hand or as they refuse to be reached."""
+        avoided = sum(n in self.taken_out or v.rest_until > self.now for n, v in self.nodes.items())
+        return len(self.nodes), avoided
+
     def pick(self, shard: int, units: float) -> tuple[float, NodeView | None]:
         """The shard's node that can take `units` soonest; of those, where an answer comes soonest. So new
         objects leave what the fullest and the slowest have to reads, which can go nowhere else."""
-        views = [self.nodes[n] for n in (self.by_shard.get(shard, {}) if shard >= 0 else self.nodes)]
+        names = self.by_shard.get(shard, {}) if shard >= 0 else self.nodes
+        views = [self.nodes[n] for n in names if n not in self.taken_out]
         ready = [
             (v.ready(self.now, units), v.level.read(self.now) * (v.out + units), k)
             for k, v in enumerate(views)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -140,6 +140,8 @@
         self._names, self._older = set[bytes](), set[bytes]()  # of two spans, so that old ones go
         self._names_since = clock()
         self._open: dict[bytes, Ticket] = {}
+        self.active = 0  # requests taken and not answered
+        self.figures = {(kind, c.name): 0 for kind in Kind for c in settings.classes}  # answers
 
     # From the fronts
 
@@ -155,6 +157,7 @@
         ticket.slot, self._number = self.tickets.add(ticket), self._number + 1
         ticket.id = f"{ticket.slot}.{self._number}"
         self.counters.add("requests_taken")
+        self.active += 1
         reason = self.hooks.taken(ticket) if self.hooks else None
         if reason is not None or ask.give_up <= self.clock():
             self._answer(ticket, Answer(Kind.REFUSED, reason=reason or "no time left"))
@@ -183,6 +186,7 @@
         and its outcome is news."""
         if not ticket.answered:
             ticket.answered = True
+            self.active -= 1
             self.counters.add("clients_gone")
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
@@ -190,6 +194,17 @@
     def listed(self, news: api.NodeList) -> None:
         self._post(news)
 
+    def by_hand(self, node: str, out: bool, at: int) -> None:
+        self._post(api.ByHand(node, out, at))
+
+    def knows(self, node: str) -> bool:
+        return node in self.head.nodes or node in self.head.taken_out
+
+    def refused_unread(self, class_name: str) -> None:
+        """A request that a front turned away before it came here: a refusal like any other."""
+        if class_name in self.classes:
+            self.figures[Kind.REFUSED, class_name] += 1
+
     # From the carrier
 
     def ended(self, attempt: Attempt, result: Result, reply: Reply | None = None) -> None:
@@ -303,6 +318,8 @@
 
     def _answer(self, ticket: Ticket, answer: Answer) -> None:
         ticket.answered = True
+        self.active -= 1
+        self.figures[answer.kind, ticket.ask.class_name] += 1
         self.counters.add(f"requests_{answer.kind.value}")
         if self.hooks:
             self.hooks.answer(ticket, answer)
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -181,7 +181,16 @@
     label: str
 
 
-Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """An operator takes a node out, at `at`, or puts it back; the list has no say in that."""
+
+    node: str
+    out: bool
+    at: int
+
+
+Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -25,10 +25,15 @@
     """The client's mistake; the text tells it."""
 
 
+def class_of(target: bytes) -> str:
+    """The first part of the path."""
+    return target.partition(b"?")[0].lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+
+
 def ask_of(message: Message, engine: Engine, margin: int) -> Ask:
     """What the client wants, or `BadRequest`."""
-    path, query = message.split()
-    class_name = path.lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+    _, query = message.split()
+    class_name = class_of(message.target)
     cls = engine.classes.get(class_name)
     if cls is None:
         raise BadRequest(f"no such class: {class_name}")
@@ -126,6 +131,7 @@
 
     def bad(self, conn: ServerConnection, status: int, why: str) -> None:
         if status == 503:
+            self.engine.refused_unread(class_of(conn.turned_away))
             self.refuse(conn, 0, why)
         else:
             conn.reply(status, (), f"{why}\n".encode())
--- a/umberlead/limits.py
+++ b/umberlead/limits.py
@@ -16,6 +16,7 @@
 class Limits:
     clients: int  # connections, with an eighth more for telling that there is no room
     nodes: int  # connections
+    doors: int  # connections of operators
     bodies: int  # bytes of requests' bodies held, all clients together
     answers: int  # bytes of chunk servers' answers that are being read
     answer: int  # bytes of one of them; some are larger than any request's body
@@ -37,11 +38,14 @@
     """A third of all descriptors may be held by clients for requests, so more than half of what is left is
     theirs. Of the memory left, a quarter stays for the interpreter's own growth."""
     free = max(sockets - descriptors - MORE, 6)
+    doors = max(free // 16, 2)
+    free = max(free - doors * 9 // 8 - 1, 6)
     clients = free * 5 // 9 * 8 // 9
     spare = max(memory - used, memory // 16)
     return Limits(
         clients=max(clients, 1),
         nodes=max(free - clients * 9 // 8 - 1, 4),
+        doors=doors,
         bodies=max(spare // 4, 2 * BODY_MOST),
         answers=max(spare // 4, 2 * BODY_MOST),
         answer=max(spare // 32, BODY_MOST),
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -110,15 +110,20 @@
         parts += (b"\r\n", out.body)
         self.written = False
         transport.writelines(parts)
-        self.written = not self._paused and not transport.is_closing()
+        if not self._paused and not transport.is_closing():
+            self._whole_out()
+
+    def _whole_out(self) -> None:
+        self.written = True
+        self.pool.counters.add("attempts_written")
 
     def pause_writing(self) -> None:
         self._paused = True
 
     def resume_writing(self) -> None:
         self._paused = False
-        if self.transport is not None and not self.transport.is_closing():
-            self.written = True
+        if self.transport is not None and not self.transport.is_closing() and not self.written:
+            self._whole_out()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.why is not None:
@@ -424,6 +429,8 @@
     def sweep(self) -> None:
         """Retire idle connections well before the chunk server may close them."""
         old = self.clock() - self.idle_time
+        while len(self.slots) > self.most and self._evict():  # the cap came down
+            continue
         for address, resting in list(self.idle.items()):
             while resting and resting[0].idle_since <= old:
                 self.counters.add("node_connections_retired")
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -87,12 +87,16 @@
         self.most, self.clock, self.counters, self.idle = most, clock, counters, idle
         self.memory, self.held, self.head_most = memory, 0, HEAD_MOST
         self.slots: Slots[ServerConnection] = Slots()
-        self.draining = False
+        self.leaving = False  # another process takes over: connections end with their next answer
+        self.draining = False  # and those without a request now
 
     def sweep(self) -> None:
         """Close what has stood too long: lingering, half sent, silent, or idle; when most places are taken
-        an idle connection goes sooner."""
+        an idle connection goes sooner. Where the cap came down, what is over it goes."""
         now = self.clock()
+        for _ in range(len(self.slots) - self.most):
+            if not self.make_room():
+                break
         idle = self.idle or 1 << 62
         if len(self.slots) > self.most // 2:
             idle = min(idle, REQUEST_TIME)
@@ -105,7 +109,7 @@
         return self.held + size <= self.memory
 
     def drain(self) -> None:
-        self.draining = True
+        self.leaving = self.draining = True
         for conn in self.slots:
             conn.close_if_idle()
 
@@ -131,14 +135,17 @@
     descriptor. With TCP_DEFER_ACCEPT those that send nothing stay there for a second."""
 
     def __init__(
-        self, handler: Handler, clients: Clients, address: Address, loop: asyncio.AbstractEventLoop
-    ) -> None:
+        self, handler: Handler, clients: Clients, address: Address, loop: asyncio.AbstractEventLoop,
+        share: bool = False,
+    ) -> None:  # fmt: skip
         self.handler, self.clients, self.loop = handler, clients, loop
         self.open, self.paused, self.coming = True, False, 0
         self.tasks: set[asyncio.Task[Any]] = set()
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if share:  # with the process that replaces this one
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.socket.bind(address)
         if hasattr(socket, "TCP_DEFER_ACCEPT"):
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
@@ -163,12 +170,15 @@
                 clients.counters.add("accepts_failed")
                 clients.log("accept_failed", why=str(fault))
                 return self._pause()
-            sock.setblocking(False)
-            self.coming += 1
-            made = self.loop.connect_accepted_socket(lambda: ServerConnection(self.handler, clients), sock)
-            task = self.loop.create_task(made)
-            self.tasks.add(task)
-            task.add_done_callback(self._came)
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.coming += 1
+        made = self.loop.connect_accepted_socket(lambda: ServerConnection(self.handler, self.clients), sock)
+        task = self.loop.create_task(made)
+        self.tasks.add(task)
+        task.add_done_callback(self._came)
 
     def _came(self, task: "asyncio.Task[Any]") -> None:
         self.tasks.discard(task)
@@ -185,12 +195,21 @@
             self.paused = False
             self.loop.add_reader(self.socket, self._ready)
 
+    def hurry(self) -> None:
+        """It will close: what comes from now on must not wait with the system, whose queue closes with it."""
+        if hasattr(socket, "TCP_DEFER_ACCEPT"):
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 0)
+
     def close(self) -> None:
         if self.open:
             self.open = False
             if not self.paused:
                 self.loop.remove_reader(self.socket)
-            self.socket.close()
+            try:  # what the system has accepted is ours to answer: closed on, it would be reset
+                while True:
+                    self._take(self.socket.accept()[0])
+            except OSError:
+                self.socket.close()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -210,6 +229,7 @@
         self.lost = False
         self.since = 0  # when its present state began
         self.context: Any = None  # the handler's own
+        self.turned_away = b""  # the target of what was refused unread
         self.status = self.length = 0  # of the latest answer
         self._head = self._size = self._lines = self._spill = 0
         self._in_head = False
@@ -369,11 +389,12 @@
         if self.open is None and self.waiting and not (self.ended or self.lost or self._paused):
             if len(self.clients.slots) > self.clients.most and not self.served:
                 # No idle connection was left to make room: this one is served no further, and told so.
+                target = self.waiting[0].target
                 self._drop_waiting()
-                self.refuse(503, "too many connections")
+                self.refuse(503, "too many connections", target)
                 return
             message = self.open = self.waiting.popleft()
-            if not message.keep_alive or self.clients.draining:
+            if not message.keep_alive or self.clients.leaving:
                 self.closing = True
             try:
                 self.handler.request(self, message)
@@ -397,8 +418,9 @@
         while self.waiting:  # each gives its memory back: dropped with a bare clear, it stayed counted
             self._unhold(self.waiting.popleft())
 
-    def refuse(self, status: int, why: str) -> None:
+    def refuse(self, status: int, why: str, target: bytes = b"") -> None:
         """What can't be read is answered, and the connection ends with that."""
+        self.turned_away = self.message.target if self.message is not None else target
         self._unhold(self.message)
         self.message, self.ended, self.closing = None, True, True
         self.clients.counters.add(f"bad_requests_{status}")
@@ -414,7 +436,7 @@
         parts += [h + b"\r\n" for h in headers]
         if length is not None:
             parts.append(b"Content-Length: %d\r\n" % length)
-        parts.append(b"Connection: close\r\n\r\n" if self.closing or self.clients.draining else b"\r\n")
+        parts.append(b"Connection: close\r\n\r\n" if self.closing or self.clients.leaving else b"\r\n")
         return parts
 
     def reply(self, status: int, headers: Iterable[bytes], body: bytes, length: int | None = None) -> None:
@@ -435,7 +457,7 @@
         self.since = self.clients.clock()
         if self.lost:
             return
-        if self.closing or self.clients.draining:
+        if self.closing or self.clients.leaving:
             self.ended = True
             self._drop_waiting()
             if self.transport.can_write_eof():
--- /dev/null
+++ b/umberlead/shared.py
@@ -0,0 +1,83 @@
+"""What this process and the one that replaces it both see, as files under $TMPDIR: which processes stand
+behind the front's addresses, and which chunk servers operators took out. It is the only thing written."""
+
+import fcntl
+import os
+import secrets
+import time
+from pathlib import Path
+from typing import IO
+from urllib.parse import quote, unquote
+
+
+class Shared:
+    def __init__(self, root: Path | None) -> None:
+        """Without a folder that can be written, this process is the only one, and marks die with it."""
+        self.root, self.fault = root, ""
+        self._name, self._marks = secrets.token_hex(8), dict[str, int]()
+        self._lock: IO[str] | None = None
+        if root is None:
+            return
+        try:
+            (root / "fronts").mkdir(parents=True, exist_ok=True)
+            (root / "offline").mkdir(exist_ok=True)
+            self._lock = open(root / "fronts" / self._name, "w")  # noqa: SIM115 (held until the end)
+            fcntl.flock(self._lock, fcntl.LOCK_EX)
+        except OSError as fault:
+            self.root, self.fault = None, str(fault)
+
+    def others(self) -> int:
+        """Processes beside this one. One that was killed left its file, but not the lock on it."""
+        if self.root is None:
+            return 0
+        return sum(n != self._name and self._lives(self.root / "fronts" / n) for n in self._list("fronts"))
+
+    def _list(self, folder: str) -> list[str]:
+        assert self.root is not None
+        try:
+            return os.listdir(self.root / folder)
+        except OSError:
+            return []
+
+    @staticmethod
+    def _lives(path: Path) -> bool:
+        try:
+            with open(path) as file:
+                fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def marks(self) -> dict[str, int]:
+        """Chunk servers taken out by hand, and when, in us of Unix time."""
+        if self.root is None:
+            return dict(self._marks)
+        found = {}
+        for name in self._list("offline"):
+            try:
+                found[unquote(name)] = (self.root / "offline" / name).stat().st_mtime_ns // 1000
+            except OSError:  # put back in between
+                continue
+        return found
+
+    def mark(self, node: str, out: bool) -> None:
+        """OSError if it can't be kept."""
+        if self.root is None:
+            if out:
+                self._marks.setdefault(node, time.time_ns() // 1000)
+            else:
+                self._marks.pop(node, None)
+            return
+        path = self.root / "offline" / quote(node, safe="")
+        if not out:
+            path.unlink(missing_ok=True)
+        elif not path.exists():
+            path.touch()
+
+    def leave(self) -> None:
+        if self._lock is not None and self.root is not None:
+            (self.root / "fronts" / self._name).unlink(missing_ok=True)
+            self._lock.close()
+            self._lock = None
