--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -170,7 +170,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole or self.head_done:  # of what is none of ours, or a trailer
             return
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")
         if name in self.headers and name in (b"content-length", b"transfer-encoding"):
             value = self.headers[name] + b", " + value  # two lengths are none
         self.headers[name] = value
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -326,7 +326,7 @@
             if self._lines > self.clients.head_most:
                 self.refuse(431, f"a head may have {self.clients.head_most} bytes")
             return
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")  # RFC 9112: space around a value is none of it
         if name in message.headers:
             if name in SINGLE or name in self.handler.single:
                 self._twice = self._twice or name
@@ -373,6 +373,8 @@
             return
         self.message, self._head = None, 0
         message.method = self.parser.get_method()
+        if message.target[:7].lower() == b"http://":  # the absolute form says no more than Host
+            message.target = b"/" + message.target[7:].partition(b"/")[2]
         message.body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
         message.keep_alive = self.parser.should_keep_alive()
         message.received = self.clients.clock()
