Pass answers over 64 KiB through as they come, read bodies up to 32 MB, and rest no node for a 504

Logged for each refusal: the node's bound at its floor and a rest ahead of it, after 'full'. Ruled out: a race with the request's last byte (20 ms of delay changed nothing), the head's parser (completes at the last byte, probe), budgets (5.7 s left), connections (new and kept alike), the queue. At fault: attempts.py _answered took 504 for a full queue, for which NodeView.answer rests the node for 500 ms and takes its bound to one request; on_body's cap; body_most in platform.py. Now 504 is 'astray': refused at once, not sent again, no news of the node. Long answers go through: the attempt ends with their first bytes, a reader that is slow stops the reading, one that moves is never cut off. A body has one buffer that grows in place; a head has 2.5 s and a body 32 kB/s, so that bad clients still end within 3 s.

--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -512,7 +512,7 @@
             self.key_rests[item.req.key] = self.now + self.s.order_rest
         if e.final or item.done:
             self.conclude(item)
-        elif self.now >= item.aim_at or not self.may_send(item):
+        elif e.astray or self.now >= item.aim_at or not self.may_send(item):
             self.give_up(item)
         else:
             self.hold(item)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -46,6 +46,7 @@
     writers: int = 1
     repeat: bool = False
     name: bytes = b""  # the client's own for it; one request at a time may bear it
+    streams: bool = False  # whether the front can pass on a long answer as it comes
 
 
 @dataclass(slots=True)
@@ -57,6 +58,8 @@
     load: dict[str, float] = field(default_factory=dict)
     used: int = 0
     elsewhere: int = 0
+    rest: Any = None  # the carrier's own, where more of the body comes; the front calls `relayed` at its end
+    length: int | None = None  # of the whole body, where that is known
 
 
 @dataclass(slots=True)
@@ -95,6 +98,7 @@
     give_up: int
     once: bool = False  # in doubt whether it ran, it can't be sent again
     again: bool = False  # its connection broke before it was written, and another was tried
+    astray: bool = False  # the node had no use for it, now or later
     carried: Any = None  # the carrier's own
 
 
@@ -223,7 +227,7 @@
         self._post(
             api.Outcome(
                 ticket.id, attempt.node, attempt.number, result, elapsed, ticket.answered, reply.load,
-                reply.used, reply.elsewhere,
+                reply.used, reply.elsewhere, attempt.astray,
             )
         )  # fmt: skip
         self._release(ticket)
@@ -318,14 +322,25 @@
 
     def _answer(self, ticket: Ticket, answer: Answer) -> None:
         ticket.answered = True
-        self.active -= 1
-        self.figures[answer.kind, ticket.ask.class_name] += 1
+        if answer.reply is None or answer.reply.rest is None:
+            self._count(answer.kind, ticket.ask.class_name)
         self.counters.add(f"requests_{answer.kind.value}")
         if self.hooks:
             self.hooks.answer(ticket, answer)
         ticket.done(answer)
         self._release(ticket)
 
+    def _count(self, kind: Kind, class_name: str) -> None:
+        self.active -= 1
+        self.figures[kind, class_name] += 1
+
+    def relayed(self, class_name: str, whole: bool | None) -> None:
+        """A long answer is out, or broke off; None where the client left."""
+        if whole is None:
+            self.active -= 1
+        else:
+            self._count(Kind.SERVED if whole else Kind.FAILED, class_name)
+
     def _release(self, ticket: Ticket) -> None:
         if ticket.answered and ticket.out is None and self.tickets.get(ticket.slot) is ticket:
             if ticket.timer is not None:
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -155,6 +155,7 @@
     load: dict[str, float] = field(default_factory=dict)
     used: int = 0  # 1 + percent of the plan's rate served for the volume in a past period
     elsewhere: int = 0  # units served there for the volume through other heads
+    astray: bool = False  # turned away as the request is over, or not for this node: again would end the same
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -2,10 +2,10 @@
 
 import math
 import re
+from dataclasses import dataclass
 
 from umberlead.core.engine import Answer, Ask, Duplicate, Engine, Kind, Ticket
-from umberlead.limits import BODY_MOST
-from umberlead.net.attempts import Outgoing
+from umberlead.net.attempts import LONG_MOST, Outgoing
 from umberlead.net.http import Message, ServerConnection
 
 PASSED_ON = ((b"x-call-id", b"X-Call-Id: "), (b"x-plan", b"X-Plan: "), (b"x-io", b"X-IO: "))
@@ -69,14 +69,21 @@
     give_up = message.received + max(int(budget * 1e6) - margin, 0)
     return Ask(
         class_name, plan, io["volume"], found[1].decode(), shard, units, give_up, out, hosts,
-        got.get(b"x-again") == b"1", got[b"x-call-id"],
+        got.get(b"x-again") == b"1", got[b"x-call-id"], True,
     )  # fmt: skip
 
 
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """Whose long answer is on its way."""
+
+    class_name: str
+
+
 class PlatformFront:
     """Translates, and decides nothing."""
 
-    body_most = BODY_MOST
+    body_most = LONG_MOST
     dated = False  # the platform asks for no header
     single = frozenset((b"x-call-id", b"x-plan", b"x-io", b"x-budget", b"x-again"))
     slow_bodies = False
@@ -110,6 +117,12 @@
             return
         conn.context = None
         if answer.kind is Kind.SERVED and answer.reply is not None:
+            if answer.reply.rest is not None:
+                conn.context = relayed = Relayed(class_of(message.target))
+                return conn.relay(
+                    200, answer.reply.length, answer.reply.body, answer.reply.rest,
+                    lambda whole: self._relayed(conn, relayed, whole),
+                )  # fmt: skip
             if conn.clients.room(len(answer.reply.body)):
                 return conn.reply(200, (), answer.reply.body)
             self.engine.counters.add("answers_over_memory")
@@ -119,6 +132,10 @@
         else:
             conn.reply(502, (), b"failed; it may have taken effect\n" if answer.may_have_run else b"failed\n")
 
+    def _relayed(self, conn: ServerConnection, relayed: Relayed, whole: bool) -> None:
+        conn.context = None
+        self.engine.relayed(relayed.class_name, whole)
+
     def refuse(self, conn: ServerConnection, retry_after: int, reason: str) -> None:
         """At once, and telling when to come back."""
         wait = math.ceil((retry_after or self.retry_after) / 1000) / 1000
@@ -128,6 +145,8 @@
         ticket, conn.context = conn.context, None
         if isinstance(ticket, Ticket):
             self.engine.gone(ticket)
+        elif isinstance(ticket, Relayed):
+            self.engine.relayed(ticket.class_name, None)
 
     def bad(self, conn: ServerConnection, status: int, why: str) -> None:
         if status == 503:
--- a/umberlead/limits.py
+++ b/umberlead/limits.py
@@ -18,8 +18,8 @@
     nodes: int  # connections
     doors: int  # connections of operators
     bodies: int  # bytes of requests' bodies held, all clients together
-    answers: int  # bytes of chunk servers' answers that are being read
-    answer: int  # bytes of one of them; some are larger than any request's body
+    answers: int  # bytes of chunk servers' answers that are being read whole
+    answer: int  # bytes of one of them, where a front can't pass it on as it comes
     head: int  # bytes of a head
     names: int  # requests' names remembered in a span
     lines: int  # of the log, waiting
@@ -36,7 +36,7 @@
 
 def deal(sockets: int, memory: int, descriptors: int, used: int) -> Limits:
     """A third of all descriptors may be held by clients for requests, so more than half of what is left is
-    theirs. Of the memory left, a quarter stays for the interpreter's own growth."""
+    theirs. Of the memory left, a quarter stays for the interpreter's own growth and for what is passed on."""
     free = max(sockets - descriptors - MORE, 6)
     doors = max(free // 16, 2)
     free = max(free - doors * 9 // 8 - 1, 6)
@@ -46,8 +46,8 @@
         clients=max(clients, 1),
         nodes=max(free - clients * 9 // 8 - 1, 4),
         doors=doors,
-        bodies=max(spare // 4, 2 * BODY_MOST),
-        answers=max(spare // 4, 2 * BODY_MOST),
+        bodies=max(spare // 2, 2 * BODY_MOST),
+        answers=max(spare // 8, 2 * BODY_MOST),
         answer=max(spare // 32, BODY_MOST),
         head=min(max(spare // 8 // max(clients, 1), HEAD_LEAST), HEAD_MOST),
         names=max(spare // 16 // NAME_BYTES, 1000),
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -9,7 +9,7 @@
 import select
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -24,6 +24,8 @@
 IDLE_PART = 0.6  # of the keepalive: the chunk server may close at any time up to the whole of it
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
 SMOOTH = 0.02  # weight of one more reuse in that part
+STILL = 10_000_000  # us in which a long answer must move on
+LONG_MOST = 32 << 20  # the protocol's bytes of a long answer
 REST = 5_000  # us a connection rests after an answer: what comes behind that belongs to no request
 LENGTH = re.compile(rb"[0-9]{1,15}")
 FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
@@ -38,10 +40,21 @@
     method: bytes
     target: bytes
     headers: list[bytes]  # whole lines, without the line's end
-    body: bytes = b""
+    body: bytes | bytearray = b""
     served: frozenset[int] = field(default=frozenset((200,)))
 
 
+class Sink(Protocol):
+    """Who passes a long answer on as it comes."""
+
+    def more(self, piece: bytes) -> None: ...
+
+    def whole(self) -> None: ...
+
+    def broke(self) -> None:
+        """What is missing will not come."""
+
+
 class NodeConnection(asyncio.Protocol):
     """One connection to a chunk server; it carries an attempt at a time."""
 
@@ -63,6 +76,8 @@
         self.broke = False  # neither refused nor silent: it came up, or nearly, and broke
         self._paused = False
         self._poll: select.poll | None = None
+        self.sink: Sink | None = None  # the long answer's
+        self._held = False  # its reader has enough for now
         self._reset_answer()
 
     def _reset_answer(self) -> None:
@@ -71,6 +86,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.size = self.head_size = 0
+        self.length: int | None = None
         self.framed = self.head_done = self.whole = self.keep = self.surplus = False
 
     # asyncio
@@ -126,6 +142,8 @@
             self._whole_out()
 
     def data_received(self, data: bytes) -> None:
+        if self.sink is not None:
+            return self._pass_on(data)
         if self.attempt is None or self.why is not None:
             if self.why is None:
                 self.pool.counters.add("node_answers_surplus")
@@ -140,16 +158,20 @@
             if not self.whole:
                 return self._spoilt("malformed")
             self.surplus = True
-        if self.why is not None:
+        if self.sink is not None and self.whole:  # all of a long answer in the read that began it
+            return self._passed(self.keep and self.written and not self.surplus)
+        if self.why is not None or self.attempt is None:
             return
         if self.whole:
             self._answered(self.keep)
         elif not self.head_done and self.head_size > self.pool.head_most:
             self._spoilt("head_too_large")
-        elif not begun:
+        elif not begun and not self.closed:
             self.timer = self.pool.wheel.after(self.pool.link_timeout, self._stalled)
 
     def eof_received(self) -> bool:
+        if self.sink is not None and not self.framed:
+            self._passed(False)
         if self.attempt is not None and self.why is None and self.head_done and not self.framed:
             self._answered(keep=False)  # an answer may end with its connection
         return False
@@ -158,6 +180,8 @@
         self.close()
         self.pool.forget(self)
         self.pool.held, self.size, self.broke = self.pool.held - self.size, 0, True
+        if self.sink is not None:
+            self._break()
         if self.attempt is not None:
             # A stale pooled connection ends here too: what was written may have been read.
             self._end(Result.RESET if self.written else Result.NO_LINK)
@@ -186,15 +210,25 @@
         self.framed = length is not None or coding is not None
         if length is not None and (coding is not None or LENGTH.fullmatch(length) is None):
             self._spoilt("malformed")
-        elif length is not None and int(length) > self.pool.answer_most:
-            self._spoilt("too_large")
+        elif length is not None:
+            self.length = int(length)
+            if self.length > LONG_MOST:
+                self._spoilt("too_large")
 
     def on_body(self, body: bytes) -> None:
         if self.whole or self.why is not None:
             return
+        if self.sink is not None:
+            return self.sink.more(body)
+        if self.attempt is None:
+            return  # given up within this read
         self.size += len(body)
         self.pool.held += len(body)
         self.body.append(body)
+        if self.size > BODY_MOST or (self.length or 0) > BODY_MOST:
+            ask, status = self.attempt.ticket.ask, self.parser.get_status_code()
+            if ask.streams and status in ask.payload.served and not self.attempt.ticket.answered:
+                return self._begin()
         if self.size > self.pool.answer_most or self.pool.held > self.pool.memory:
             self._spoilt("too_large")
 
@@ -227,18 +261,99 @@
             self.pool.counters.add(f"node_answers_{how}")
             self.give_up(Result.ERROR)
 
+    def _reply(self) -> Reply:
+        got = self.headers
+        return Reply(
+            self.parser.get_status_code(), b"".join(self.body), _load(got.get(b"x-load-report", b"")),
+            _whole(got.get(b"x-volume-use"), -1) + 1,  # the header leaves out the simulator's 1
+            _whole(got.get(b"x-served-elsewhere"), 0),
+        )  # fmt: skip
+
+    # A long answer: the attempt has ended with its first bytes, the rest goes through as its reader takes it.
+
+    def _begin(self) -> None:
+        attempt, reply = self.attempt, self._reply()
+        assert attempt is not None
+        reply.rest, reply.length = self, self.length
+        self.pool.held, self.size, self.body = self.pool.held - self.size, 0, []
+        self.attempt, self.why = None, None
+        if self.timer is not None:
+            self.timer.cancel()
+        self.pool.counters.add("node_answers_long")
+        self.pool.engine.ended(attempt, Result.OK, reply)
+        if self.sink is None:
+            self.close()  # its client has left
+        else:
+            self.timer = self.pool.wheel.after(STILL, self._still)
+
+    def _pass_on(self, data: bytes) -> None:
+        self.heard = self.pool.clock()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.whole:
+                return self._break()
+            self.surplus = True
+        if self.whole:
+            self._passed(self.keep and self.written and not self.surplus)
+
+    def _passed(self, keep: bool) -> None:
+        sink, self.sink = self.sink, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if keep:
+            self.hold(False)
+            self._reset_answer()
+            self.pool.rest(self)
+        else:
+            self.close()
+        if sink is not None:
+            sink.whole()
+
+    def _break(self) -> None:
+        sink, self.sink = self.sink, None
+        self.pool.counters.add("node_answers_broke_off")
+        self.close()
+        if sink is not None:
+            sink.broke()
+
+    def _still(self) -> None:
+        """A node that stopped in the middle. Of a client that stands still its own connection tells."""
+        since = self.pool.clock() if self._held else self.heard
+        if since + STILL <= self.pool.clock():
+            self._break()
+        else:
+            self.timer = self.pool.wheel.at(since + STILL, self._still)
+
+    def hold(self, stop: bool) -> None:
+        """Its reader has enough for now, or reads on."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if stop and not self._held:
+            self._held = True
+            self.transport.pause_reading()
+        elif not stop and self._held:
+            self._held, self.heard = False, self.pool.clock()
+            self.transport.resume_reading()
+
+    def abandon(self) -> None:
+        """Its reader has left."""
+        self.sink = None
+        self.close()
+
     def _answered(self, keep: bool) -> None:
         status, got, attempt = self.parser.get_status_code(), self.headers, self.attempt
         assert attempt is not None
         out: Outgoing = attempt.ticket.ask.payload
-        reply = Reply(
-            status, b"".join(self.body), _load(got.get(b"x-load-report", b"")),
-            _whole(got.get(b"x-volume-use"), -1) + 1,  # the header leaves out the simulator's 1
-            _whole(got.get(b"x-served-elsewhere"), 0),
-        )  # fmt: skip
+        reply = self._reply()
         if status in out.served:
             result = Result.OK
-        elif status in (503, 504) and got.get(b"x-rejected") == b"1":
+        elif status == 504 and got.get(b"x-rejected") == b"1":
+            # Not for this chunk server, or not any more: of the request, and no news of the node's health.
+            result, attempt.astray = Result.MOOT, True
+            self.pool.counters.add("attempts_astray")
+        elif status == 503 and got.get(b"x-rejected") == b"1":
             result = Result.FULL
         else:
             result = Result.ERROR
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -1,8 +1,11 @@
 """The server's side of an HTTP/1.1 connection, shared by the fronts: parsing, limits, replies."""
 
 import asyncio
+import fcntl
 import re
 import socket
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -17,9 +20,12 @@
 from umberlead.limits import HEAD_MOST
 
 WAITING_MOST = 8  # whole requests that a client may send ahead of their answers
-UNREAD = 10_000_000  # us an answer may stand in our memory without the client reading on
+UNREAD = 30_000_000  # us an answer may stand in our memory without the client reading on
 LINGER = 300_000  # us a connection stays after an answer that ends it, so that the answer arrives
-REQUEST_TIME = 2_000_000  # us a client may take over a request, from its connecting or the request's begin
+REQUEST_TIME = 2_500_000  # us a client may take over a request, from its connecting or the request's begin
+BODY_TIME = 400_000  # us from the head's end that it has at least, a late head or not
+PACE = 32_000  # bytes a second at which a body must come
+SPARE_TIME = 2_000_000  # us an idle connection stands where places are short
 GRACE = 100_000  # us a new connection is safe from giving its place up: its request may be on the way
 LENGTH = re.compile(rb"[0-9]{1,15}")
 # One value each: two could be read one way here and another way behind us.
@@ -41,7 +47,8 @@
     method: bytes = b""
     target: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)  # names in lower case
-    body: bytes = b""
+    body: bytes | bytearray = b""
+    version: str = "1.1"
     keep_alive: bool = True
     received: int = 0
 
@@ -67,6 +74,16 @@
         """Answer what could not be read."""
 
 
+class Source(Protocol):
+    """Where the rest of a long answer comes from."""
+
+    sink: Any
+
+    def hold(self, stop: bool) -> None: ...
+
+    def abandon(self) -> None: ...
+
+
 class Stopped(Exception):
     """Raised in a parser's callback: nothing behind this is read as a request."""
 
@@ -99,9 +116,12 @@
                 break
         idle = self.idle or 1 << 62
         if len(self.slots) > self.most // 2:
-            idle = min(idle, REQUEST_TIME)
+            idle = min(idle, SPARE_TIME)
         for conn in self.slots:
-            if conn.since + conn.patience(idle) <= now:
+            if conn.unread:
+                if conn.stuck(now):
+                    conn.transport.abort()
+            elif conn.since + conn.patience(idle) <= now:
                 conn.expire()
 
     def room(self, size: int) -> bool:
@@ -234,10 +254,14 @@
         self._head = self._size = self._lines = self._spill = 0
         self._in_head = False
         self._twice = b""  # a header that came again and must not
-        self._parts: list[bytes] = []
+        self._body: bytes | bytearray = b""
+        self._body_since = 0  # when the head was whole
         self._writable: asyncio.Future[None] | None = None
-        self._paused = False
-        self._unread = 0  # bytes of answers that wait for the client to read
+        self.source: Source | None = None  # of the long answer that is on its way
+        self._chunked, self._done = False, cast(Callable[[bool], None], None)
+        self.unread = False  # an answer waits here for the client to read it
+        self._unread = 0  # that many bytes of it
+        self._left = self._moved = 0  # how much there was at the last look, and when that changed
 
     # asyncio
 
@@ -255,6 +279,9 @@
         self.resume_writing()
         self._unhold(self.message)
         self._drop_waiting()
+        if self.source is not None:
+            self.source.abandon()
+            self.source = None
         if self.open is not None:
             self._unhold(self.open)
             self.open = None
@@ -282,12 +309,17 @@
         return False  # a client that ends its sending counts as gone, as one that closes does
 
     def pause_writing(self) -> None:
-        self._paused, self._unread = True, self.transport.get_write_buffer_size()
+        self.unread, self._unread = True, self.transport.get_write_buffer_size()
+        self._left, self._moved = 0, self.clients.clock()
         self.clients.held += self._unread
+        if self.source is not None:
+            self.source.hold(True)
 
     def resume_writing(self) -> None:
         self.clients.held -= self._unread
-        self._paused, self._unread = False, 0
+        self.unread, self._unread = False, 0
+        if self.source is not None:
+            self.source.hold(False)
         self._wake()
         self._next()
 
@@ -297,7 +329,7 @@
 
     async def writable(self) -> bool:
         """Wait until the client has read enough; False if it left."""
-        while self._paused and not self.lost:
+        while self.unread and not self.lost:
             self._writable = asyncio.get_running_loop().create_future()
             await self._writable
         return not self.lost
@@ -307,7 +339,7 @@
     def on_message_begin(self) -> None:
         if self.ended:
             raise Stopped
-        self.message, self._parts, self._size, self._in_head = Message(), [], 0, True
+        self.message, self._body, self._size, self._in_head = Message(), b"", 0, True
         self._lines, self._twice = 0, b""
         if self.open is None and self.served:  # the first one's time runs from the connecting
             self.since = self.clients.clock()
@@ -337,7 +369,7 @@
         message = self.message
         if message is None or self.ended:
             return
-        self._in_head = False
+        self._in_head, self._body_since = False, self.clients.clock()
         if self._lines > self.clients.head_most:
             return self.refuse(431, f"a head may have {self.clients.head_most} bytes")
         if self._twice:
@@ -348,8 +380,8 @@
             return self.refuse(400, "Content-Length is malformed, or comes with Transfer-Encoding")
         if coding is not None and coding.lower() != b"chunked":
             return self.refuse(400, "Transfer-Encoding may be chunked here")
-        if length is not None and int(length) > self.handler.body_most:
-            return self.refuse(413, f"a body may have {self.handler.body_most} bytes")
+        if length is not None and int(length) > self._body_most():
+            return self.refuse(413, f"a body may have {self._body_most()} bytes")
         if message.headers.get(b"expect", b"").lower() == b"100-continue" and self.open is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -360,13 +392,22 @@
         if self.open is None and self.handler.slow_bodies:
             self.since = self.clients.clock()  # a slow upload that moves is none that hangs
         self.clients.held += len(body)
-        self._parts.append(body)
-        if self._size > self.handler.body_most:
-            self.refuse(413, f"a body may have {self.handler.body_most} bytes")
+        # One buffer that grows in place: pieces joined at the end would take the memory twice.
+        if not self._body:
+            self._body = body
+        elif isinstance(self._body, bytearray):
+            self._body += body
+        else:
+            self._body = bytearray(self._body) + body
+        if self._size > self._body_most():
+            self.refuse(413, f"a body may have {self._body_most()} bytes")
         elif self.clients.held > self.clients.memory:
             self.clients.counters.add("bodies_over_memory")
             self.refuse(503, "too many bodies are held at present")
 
+    def _body_most(self) -> int:
+        return min(self.handler.body_most, self.clients.memory)
+
     def on_message_complete(self) -> None:
         message = self.message
         if message is None or self.ended:
@@ -375,10 +416,11 @@
         message.method = self.parser.get_method()
         if message.target[:7].lower() == b"http://":  # the absolute form says no more than Host
             message.target = b"/" + message.target[7:].partition(b"/")[2]
-        message.body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        message.body = self._body
+        message.version = self.parser.get_http_version()
         message.keep_alive = self.parser.should_keep_alive()
         message.received = self.clients.clock()
-        self._parts = []
+        self._body = b""
         self.waiting.append(message)
         if len(self.waiting) > WAITING_MOST:
             return self.refuse(400, "too many requests sent ahead")
@@ -388,7 +430,7 @@
 
     def _next(self) -> None:
         # Not while an answer stands unread: a client that only asks must not pile them up.
-        if self.open is None and self.waiting and not (self.ended or self.lost or self._paused):
+        if self.open is None and self.waiting and not (self.ended or self.lost or self.unread):
             if len(self.clients.slots) > self.clients.most and not self.served:
                 # No idle connection was left to make room: this one is served no further, and told so.
                 target = self.waiting[0].target
@@ -411,7 +453,7 @@
     def _unhold(self, message: Message | None) -> None:
         if message is not None and message is self.message:
             self.clients.held -= self._size
-            self._parts = []
+            self._body = b""
         elif message is not None:
             self.clients.held -= len(message.body)
             message.body = b""
@@ -451,6 +493,41 @@
         self.transport.writelines(parts)
         self.finished()
 
+    # A long answer, as it comes
+
+    def relay(
+        self, status: int, length: int | None, first: bytes, source: Source, done: Callable[[bool], None]
+    ) -> None:
+        """Without a length it goes in chunks, or up to the connection's end where the client knows none.
+        `done` is told whether all of it is out, unless the client leaves."""
+        self._chunked = length is None and self.open is not None and self.open.version == "1.1"
+        self.closing |= length is None and not self._chunked
+        coding = (b"Transfer-Encoding: chunked",) if self._chunked else ()
+        self.source, source.sink, self._done = source, self, done
+        self.transport.writelines([*self.head(status, coding, length), *self._piece(first)])
+
+    def _piece(self, data: bytes) -> tuple[bytes, ...]:
+        if not data:
+            return ()
+        return (b"%x\r\n" % len(data), data, b"\r\n") if self._chunked else (data,)
+
+    def more(self, piece: bytes) -> None:
+        if not self.lost:
+            self.transport.writelines(self._piece(piece))
+
+    def whole(self) -> None:
+        self.source = None
+        self._done(True)
+        if self._chunked and not self.lost:
+            self.transport.write(b"0\r\n\r\n")
+        self.finished()
+
+    def broke(self) -> None:
+        """The client sees it: the answer ends short of its length, or of its last chunk."""
+        self.source = None
+        self._done(False)
+        self.transport.abort()
+
     def finished(self) -> None:
         """The answer is out: the next request's turn."""
         self._unhold(self.open)
@@ -471,12 +548,22 @@
 
     # States
 
+    def stuck(self, now: int) -> bool:
+        """Whether the client has read nothing of what waits for it here or with the system for long. One
+        that takes minutes over an answer is served as long as it moves."""
+        left = self.transport.get_write_buffer_size()
+        if (sock := self.transport.get_extra_info("socket")) is not None:
+            left += int.from_bytes(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4), sys.byteorder)
+        if left != self._left:
+            self._left, self._moved = left, now
+        return self._moved + UNREAD <= now
+
     def idle(self) -> bool:
         return self.open is None and self.message is None and not self.waiting and not self.ended
 
     def spare(self, old: int) -> bool:
         """No request of it is open, and it is in its present state since `old` or ends anyway."""
-        calm = self.open is None and not self.waiting and (self.ended or self.since <= old)
+        calm = self.open is None and not (self.waiting or self.unread) and (self.ended or self.since <= old)
         return calm and not self.transport.is_closing()
 
     def close_if_idle(self) -> None:
@@ -490,11 +577,14 @@
         if self.ended:
             return LINGER
         if self.message is not None:
-            return REQUEST_TIME
+            if self._in_head:
+                return REQUEST_TIME
+            late = self._body_since + BODY_TIME - self.since
+            return max(REQUEST_TIME, late) + self._size * 1_000_000 // PACE
         return REQUEST_TIME if not self.served else idle
 
     def expire(self) -> None:
         if self.message is not None and not self.ended:
             self.refuse(408, "the request did not come whole in time")
-        elif self.ended or not self._paused or self.since + UNREAD <= self.clients.clock():
+        else:
             self.transport.abort()  # a plain close waits for a client that may never read
