--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,6 +1,7 @@
 """What service days ask of the module: nothing grows, links that break rest nobody, slow nodes are spared."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from tests.helpers import T0, ask, end, feed, head, nodes, sends, settings, up
@@ -41,6 +42,17 @@
         acts = feed(h, T0 + 9, *[ask(f"w{k}", T0 + 9, "once", shard=-1) for k in range(3)])
         self.assertEqual([a.node for a in acts if isinstance(a, api.Send)], ["n1"] * 3)
 
+    def test_what_a_node_has_no_use_for_goes_where_its_object_was_stored_or_is_refused(self) -> None:
+        """Each such answer took the node's bound to one request and rested it for half a second."""
+        h = head(T0, up("n0", 0), up("n1", 1))
+        feed(h, T0, api.ByHand("n0", True, T0), ask("w", cls="once", shard=-1, key="k"))
+        feed(h, T0, end("w", node="n1"), api.ByHand("n0", False, T0))
+        feed(h, T0, ask("a", shard=0, key="k"), ask("b", shard=0, key="other", volume="v2"))
+        gone = [replace(end(r, api.Result.MOOT), astray=True) for r in "ab"]
+        acts = feed(h, T0 + 1, *gone, ask("c", T0 + 1, shard=0, volume="v3"))
+        self.assertEqual({a.request: a.node for a in acts if isinstance(a, api.Send)}, {"a": "n1", "c": "n0"})
+        self.assertEqual(refused(acts), ["b"])
+
     def test_what_is_hopeless_goes_by_size(self) -> None:
         """Late as it is, a small read still has the time it takes; a large one has not."""
         h = head(T0, up())
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -246,6 +246,10 @@
         self.volumes: dict[str, Volume] = {}
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
         self.key_rests: dict[str, int] = {}
+        self.stored: tuple[dict[str, int], dict[str, int]] = (
+            {},
+            {},
+        )  # where new objects went; this span, last
         self.patience: dict[str, int] = {}  # most time a client of the class has left on arrival
         self.taken, self.resent = deque[int](), deque[int]()  # when: the budget's two counts
         self.due: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
@@ -296,6 +300,7 @@
         self.volumes = {k: v for k, v in self.volumes.items() if v.seen > old or v.limit.most < NEVER}
         for lane in self.lanes.values():
             lane.prune(self.volumes)
+        self.stored = ({}, self.stored[0])
         self.at(self.now + KEPT, self.prune)
 
     def listed(self, news: api.NodeList) -> None:
@@ -482,6 +487,15 @@
             item.tries += 1
             self.acts.append(api.Send(item.req.request, view.info.node))
 
+    def moved(self, item: Item) -> bool:
+        """A client that began its request before the object's write was over may name a shard of old. Where
+        this head stored it itself, it knows better, once the named one had no use for the request."""
+        new, old = self.stored
+        key = item.req.key or ""
+        shard = new.get(key, old.get(key, item.shard))
+        known, item.shard = shard != item.shard, shard
+        return known
+
     def overdue(self, item: Item, attempt: int) -> None:
         """Out much longer than its node takes, while later ones came back: lost, or one enormous request,
         not the node's trouble. Its units are written off, so they block nothing; with leave and time it is
@@ -505,6 +519,8 @@
         if tried.units or e.result is Result.OK:  # what was written off has been judged
             view.answer(self.now, tried, e.result, e.elapsed, bool(lane and lane.items))
         self.dirty[item.shard] = None
+        if e.result is Result.OK and item.req.shard < 0 and item.req.key is not None:
+            self.stored[0][item.req.key] = item.shard
         unsure = e.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
         if (unsure or e.result is Result.ERROR) and item.ran_at is None:
             item.ran_at = tried.at
@@ -512,6 +528,8 @@
             self.key_rests[item.req.key] = self.now + self.s.order_rest
         if e.final or item.done:
             self.conclude(item)
+        elif e.astray and self.moved(item) and self.may_send(item):
+            self.hold(item)
         elif e.astray or self.now >= item.aim_at or not self.may_send(item):
             self.give_up(item)
         else:
