--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -25,7 +25,7 @@
 REQUEST_TIME = 2_500_000  # us a client may take over a request, from its connecting or the request's begin
 BODY_TIME = 400_000  # us from the head's end that it has at least, a late head or not
 PACE = 32_000  # bytes a second at which a body must come
-PLENTY = 0.375  # part of the places that connections may take before they end with their next answer
+PLENTY = 0.5  # part of the places that connections may take before new ones end with their first answer
 SPARE_TIME = 2_000_000  # us an idle connection stands where places are short
 GRACE = 100_000  # us a new connection is safe from giving its place up: its request may be on the way
 LENGTH = re.compile(rb"[0-9]{1,15}")
@@ -128,8 +128,9 @@
                 conn.expire()
 
     def plenty(self) -> bool:
-        """With many connections standing, an answer ends its own: clients that ask once and keep theirs would
-        fill what they and we may hold, and the next one find no place. Not once no new ones are taken."""
+        """With many connections standing, the first answer on another ends it: clients that ask once and keep
+        theirs would fill what they and we may hold, and the next one find no place. Not where it was used
+        again, and not once no new ones are taken."""
         return len(self.slots) - self.going > self.most * PLENTY and not self.stopping
 
     def room(self, size: int) -> bool:
@@ -484,7 +485,7 @@
 
     def head(self, status: int, headers: Iterable[bytes], length: int | None) -> list[bytes]:
         """The pieces of an answer's head."""
-        self.closing |= self.clients.plenty()
+        self.closing |= not self.served and self.clients.plenty()
         self.status, self.length = status, length or 0
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
         if self.handler.dated:
