Begin to pass on an answer of no told length once it comes slowly

Ruled out: the writing of requests (0 ms; large bodies 78 ms at most), kept and new connections alike. Now one still coming 20 ms after its first byte is passed on.

--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -9,7 +9,7 @@
 from umberlead.core.engine import Attempt, Reply
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import STILL, NodeConnection, Outgoing
+from umberlead.net.attempts import SLOW, STILL, NodeConnection, Outgoing
 from umberlead.net.http import UNREAD, Clients, ServerConnection
 
 BODY = b"x" * 70_000
@@ -66,6 +66,18 @@
         self.assertEqual(body, b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY))
         self.assertIsNone(self.node.sink)
 
+    def test_one_of_no_told_length_that_comes_slowly_does_not_wait_for_64_kib(self) -> None:
+        """Its first bytes are what is timed: waiting for so much took up to a second."""
+        chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
+        self.node.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+        self.now += SLOW
+        self.node.data_received(chunk)
+        self.assertEqual(self.ended, [])
+        self.now += 1000
+        self.node.data_received(chunk)
+        self.assertEqual(self.ended, [Result.OK])
+        self.assertIn(b"c00\r\n" + b"x" * 3072, self._out())
+
     def test_a_reader_that_takes_its_time_stops_the_reading_and_is_not_cut_off(self) -> None:
         self.node.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n" + BODY)
         node: Any = self.node.transport
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -25,6 +25,7 @@
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
 SMOOTH = 0.02  # weight of one more reuse in that part
 STILL = 10_000_000  # us in which a long answer must move on
+SLOW = 20_000  # us after which an answer of no told length, still coming, counts as a long one
 LONG_MOST = 32 << 20  # the protocol's bytes of a long answer
 REST = 5_000  # us a connection rests after an answer: what comes behind that belongs to no request
 LENGTH = re.compile(rb"[0-9]{1,15}")
@@ -69,7 +70,7 @@
         self.timer: Timer | None = None
         self.slot = -1
         self.idle_since = 0  # 0 before its first answer
-        self.heard = 0
+        self.heard = self._first = 0  # when the latest of an answer came, and the first of it
         self.closed = False
         self.fault = ""  # why no connection came up
         self.ours = False  # and that was our own lack of something
@@ -150,6 +151,8 @@
             self.close()  # nobody asked: the connection is of no further use
             return
         begun, self.heard = self.head_size > 0, self.pool.clock()
+        if not begun:
+            self._first = self.heard
         if not self.head_done:
             self.head_size += len(data)
         try:
@@ -225,7 +228,8 @@
         self.size += len(body)
         self.pool.held += len(body)
         self.body.append(body)
-        if self.size > BODY_MOST or (self.length or 0) > BODY_MOST:
+        slow = self.length is None and self.heard - self._first > SLOW
+        if slow or self.size > BODY_MOST or (self.length or 0) > BODY_MOST:
             ask, status = self.attempt.ticket.ask, self.parser.get_status_code()
             if ask.streams and status in ask.payload.served and not self.attempt.ticket.answered:
                 return self._begin()
