--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,8 +10,10 @@
 import uvloop
 
 from tests.helpers import T0, ask, end, feed, head, nodes, sends, up
+from umberlead.__main__ import Front
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
+from umberlead.limits import deal
 from umberlead.net.http import Clients, Listener
 from umberlead.shared import Shared
 
@@ -39,6 +41,18 @@
             self.assertEqual((list(alone.marks()), alone.others()), (["s"], 0))
 
 
+class TestLimits(unittest.TestCase):
+    def test_two_processes_have_one_front_s_limits_between_them(self) -> None:
+        """Their memory and descriptors count together, and the one that is there must make room."""
+        front = mock.Mock(processes=1, marks={}, groups=[], doors=[], handlers=[], held=(4, 0))
+        front.shared = mock.Mock(others=lambda: 1, marks=lambda: {"s": 5})
+        front.conf = mock.Mock(sockets=400, memory=80 << 20, keepalive=15_000_000, objects=None)
+        front.limit = lambda: Front.limit(front)
+        Front.look(front)
+        self.assertEqual(front.pool.most, deal(200, 40 << 20, 4, 0).nodes)
+        front.engine.by_hand.assert_called_once_with("s", True, 5)
+
+
 class TestClosing(unittest.TestCase):
     def test_what_the_system_has_accepted_is_answered_by_the_one_that_closes(self) -> None:
         """Closed with its listener, a connection that waits is reset, and its request lost."""
