Serve standing connections until 0.4 s before SIGKILL is due, 0.2 s longer than before

What is open when it closes them ends within 0.2 s but for 2 or 3 requests. __main__.py: SERVING 0.6 to 0.4 s, ANSWERING 0.3 to 0.2 s.

--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -31,7 +31,7 @@
 # SIGKILL follows SIGTERM by the longest deadline, counted as 3 s at most, plus 0.7 s. So long before that, as
 # much of it as is not needed here, connections that stand are served on, and what is open is answered.
 KILL_MOST, KILL_MORE = 3_000_000, 700_000
-SERVING, ANSWERING = 600_000, 300_000
+SERVING, ANSWERING = 400_000, 200_000
 SWEEP = 100_000
 REPORT = 10_000_000  # us between the counters' lines
 
