--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -36,7 +36,7 @@
 import uvloop
 
 from umberlead import config
-from umberlead.__main__ import Front
+from umberlead.front import Front
 
 FOLDER = Path(__file__).parent / "exchanges"
 PATIENCE = 5.0  # s until a step that never comes fails
@@ -195,7 +195,7 @@
     async def _start(self) -> Front:
         if self.front is None:
             self.patches.enter_context(mock.patch.object(config, "load", self._load))
-            self.patches.enter_context(mock.patch("umberlead.__main__.held", lambda: (4, 0)))
+            self.patches.enter_context(mock.patch("umberlead.front.held", lambda: (4, 0)))
             self.front = Front(self._load(), asyncio.get_running_loop())
             self.task = asyncio.create_task(self.front.run())
             while len(self.front.servers) < 2:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,9 +10,9 @@
 import uvloop
 
 from tests.helpers import T0, ask, end, feed, head, nodes, sends, up
-from umberlead.__main__ import Front
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
+from umberlead.front import Front
 from umberlead.limits import deal
 from umberlead.net.http import Clients, Listener
 from umberlead.shared import Shared
@@ -44,7 +44,7 @@
 class TestLimits(unittest.TestCase):
     def test_two_processes_have_one_front_s_limits_between_them(self) -> None:
         """Their memory and descriptors count together, and the one that is there must make room."""
-        front = mock.Mock(processes=1, marks={}, groups=[], doors=[], handlers=[], held=(4, 0))
+        front = mock.Mock(processes=1, marks={}, groups=[], doors=[], handlers=[], held=(4, 0), lists=None)
         front.shared = mock.Mock(others=lambda: 1, marks=lambda: {"s": 5})
         front.conf = mock.Mock(sockets=400, memory=80 << 20, keepalive=15_000_000, objects=None)
         front.limit = lambda: Front.limit(front)
--- /dev/null
+++ b/tests/test_lists_machine.py
@@ -0,0 +1,181 @@
+"""The list in force: against a plain account of it, over all short orders of events and long random ones."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.helpers import T0, ask, feed, head, nodes, sends
+from umberlead.core import interface as api
+from umberlead.core.interface import NodeState
+from umberlead.core.weighted import Smooth
+from umberlead.membership.damping import Damping, Flaps
+from umberlead.membership.machine import Membership, NotPending, Rules
+from umberlead.membership.model import Listing, Server, difference
+from umberlead.standins.explore import A, B, C, World, explore, listing, server
+
+DEPTH = 3
+SECOND = 1_000_000
+
+
+def test_all_orders_of_events_to_a_depth() -> None:
+    states, steps = explore(DEPTH)
+    assert states > 400 and steps > 2000
+
+
+NAMES = st.sampled_from("abcd")
+SERVERS = st.builds(
+    lambda name, port, shard, ready, weight, started: Server(
+        name, ("127.0.0.1", port), shard, NodeState.UP if ready else NodeState.DRAINING,
+        weight=weight, started=started,
+    ),
+    NAMES, st.integers(1, 3), st.integers(0, 1), st.booleans(), st.sampled_from([None, 0.0, 2.0]),
+    st.sampled_from([0, 5]),
+)  # fmt: skip
+
+
+class Machine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World.new(Rules(0.4, 40 * SECOND, Damping(10 * SECOND, 2000.0, 1000.0, 5000.0)))
+        self.count = 0
+
+    @rule(servers=st.lists(SERVERS, max_size=5))
+    def files(self, servers: list[Server]) -> None:
+        self.count += 1
+        self.world.files(Listing(self.count, f"{self.count:08d}{'0' * 56}", {s.name: s for s in servers}))
+
+    @rule()
+    def broken(self) -> None:
+        self.world.refused()
+
+    @precondition(lambda self: self.world.machine.pending is not None)
+    @rule(cut=st.sampled_from([3, 8, 64]))
+    def confirm(self, cut: int) -> None:
+        pending = self.world.machine.pending
+        assert pending is not None
+        self.world.confirm(pending.listing.digest[:cut])
+
+    @rule(whole=st.booleans(), servers=st.lists(SERVERS, max_size=3), gone=st.lists(NAMES, max_size=2))
+    def discovery(self, whole: bool, servers: list[Server], gone: list[str]) -> None:
+        told = {s.name: s for s in servers} | {n: server(n, 1, 0, NodeState.GONE) for n in gone}
+        self.world.discovery(whole, *told.values())
+
+    @rule(name=NAMES, out=st.booleans())
+    def mark(self, name: str, out: bool) -> None:
+        self.world.mark(name, out)
+
+    @rule(by=st.sampled_from([1, SECOND, 12 * SECOND, 50 * SECOND]))
+    def wait(self, by: int) -> None:
+        self.world.wait(by)
+
+    @invariant()
+    def as_the_plain_account_has_it(self) -> None:
+        self.world.settle()
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = settings(
+    max_examples=250, stateful_step_count=25, deadline=None, derandomize=True, database=None,
+    suppress_health_check=list(HealthCheck), phases=[Phase.generate],
+)  # fmt: skip
+
+
+def test_a_list_is_held_until_just_that_one_is_confirmed() -> None:
+    m = Membership(Rules())
+    m.files(1, listing("11111111", A, B, C))
+    small = listing("22222222", A)
+    assert not m.files(2, small) and set(m.members) == {"a", "b", "c"}
+    assert [p.code for p in m.complaint] == ["L301"]
+    for wrong in ("2222222", "11111111", ""):
+        with pytest.raises(NotPending):
+            m.confirm(3, wrong)
+    m.refused([])  # the files are no longer that list
+    with pytest.raises(NotPending):
+        m.confirm(4, small.digest)
+    m.files(5, small)
+    assert set(m.members) == {"a", "b", "c"}
+    assert {x.id for x in m.confirm(6, small.digest[:8]).went} == {"b", "c"}
+
+
+def test_a_name_with_a_new_address_is_another_server_also_after_it_left() -> None:
+    m = Membership(Rules(1.0, 60 * SECOND))
+    m.files(1, listing("11111111", A, B))
+    first = m.members["a"].id
+    m.files(2, listing("22222222", B))
+    moved = m.files(3, listing("33333333", server("a", 7), B)).came[0]
+    back = m.files(4, listing("44444444", A, B))
+    ids = {first, moved.id, back.came[0].id}
+    assert first == "a" and len(ids) == 3 and [x.id for x in back.went] == [moved.id]
+
+
+def test_a_delta_against_another_list_is_not_believed() -> None:
+    """While a list was loaded, a confirmation put another one in force."""
+    m = Membership(Rules(1.0))
+    m.files(1, listing("11111111", A, B))
+    stale = difference({}, {"a": A})
+    change = m.files(2, listing("22222222", A), stale, "somewhere else")
+    assert [x.id for x in change.went] == ["b"]
+
+
+def test_damping_holds_a_flapping_server_and_lets_it_in_again() -> None:
+    rules = Damping()
+    flaps, now = Flaps(rules), 0
+    held = [flaps.returned("a", now := now + SECOND) for _ in range(4)]
+    assert held == [False, False, False, True]
+    until = flaps.until("a")
+    assert not flaps.due(until - 2) and flaps.held == {"a"}
+    assert flaps.due(until) == ["a"] and not flaps.held
+    for _ in range(100):
+        flaps.returned("b", now)
+    assert flaps.until("b") - now <= rules.longest
+    assert flaps.due(now + 10 * rules.longest) and not flaps._at  # what has faded is forgotten
+
+
+@pytest.mark.parametrize("rules", [(0, 3, 1, 8), (1, 1, 1, 8), (1, 3, 0, 8), (1, 9, 1, 8)])
+def test_damping_that_makes_no_sense_is_refused(rules: tuple[int, float, float, float]) -> None:
+    with pytest.raises(ValueError):
+        Damping(*rules)
+
+
+def test_smooth_choice_keeps_proportions_and_mixes() -> None:
+    choice, weights, taken = Smooth(), {"a": 5.0, "b": 1.0, "c": 1.0}, ""
+    for _ in range(70):
+        name = choice.best(weights)
+        choice.took(name, weights)
+        taken += name
+    assert (taken.count("a"), taken.count("b"), taken.count("c")) == (50, 10, 10)
+    assert "aaaaa" not in taken  # well mixed: never more in a row than its part asks for
+    choice.took("b", {"b": 1.0})
+    assert set(choice._credit) == {"b"}
+
+
+def _weighted(name: str, shard: int, weight: float | None, units: float = 0.0) -> api.Node:
+    return api.Node(name, NodeState.UP, shard, 0, weight, units)
+
+
+def test_weights_part_new_objects_and_leave_reads_alone() -> None:
+    h = head(T0, _weighted("n0", 0, 3.0), _weighted("n1", 1, 1.0), _weighted("n2", 2, 0.0))
+    sent = []
+    for k in range(40):
+        acts = feed(h, T0 + k, ask(f"w{k}", T0 + k, "once", shard=-1, key=f"k{k}"))
+        sent += [a.node for a in acts if isinstance(a, api.Send)]
+        for a in acts:
+            if isinstance(a, api.Send):
+                feed(h, T0 + k, api.Outcome(a.request, a.node, 0, api.Result.OK, 9_000, True))
+    assert (sent.count("n0"), sent.count("n1"), sent.count("n2")) == (30, 10, 0)
+    assert sends(feed(h, T0 + 99, ask("r", T0 + 99, shard=2))) == ["r"]  # its data is read all the same
+
+
+def test_weights_act_among_those_that_can_take_a_request_now() -> None:
+    """The heavy one is full: waiting for it would hold up what the other can take at once."""
+    h = head(T0, _weighted("n0", 0, 9.0, units=2.0), _weighted("n1", 1, 1.0))
+    acts = feed(h, T0, *[ask(f"w{k}", cls="once", shard=-1, key=f"k{k}") for k in range(4)])
+    assert sorted(a.node for a in acts if isinstance(a, api.Send)) == ["n0", "n1", "n1", "n1"]
+
+
+def test_a_servers_own_limit_lowers_its_bound_at_once() -> None:
+    h = head(T0, _weighted("n0", 0, None))
+    assert len(sends(feed(h, T0, *[ask(f"a{k}") for k in range(3)]))) == 3
+    feed(h, T0 + 1, nodes(_weighted("n0", 0, None, units=4.0), whole=False))
+    assert sends(feed(h, T0 + 2, ask("b", T0 + 2))) == []
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -1,294 +1,21 @@
-"""`python -m umberlead`: one front, from its configuration to its last answer."""
+"""`python -m umberlead`: one front from its environment; with words behind it, the command line."""
 
-import asyncio
-import gc
 import os
 import signal
 import sys
-import time
-from collections.abc import Callable
-from dataclasses import replace
-from typing import Any
-
-import uvloop
-
-from umberlead import config
-from umberlead.core.counters import Counters
-from umberlead.core.engine import Engine
-from umberlead.core.interface import NodeList, NodeState
-from umberlead.core.wheel import Wheel
-from umberlead.fronts.control import ControlFront
-from umberlead.fronts.platform import PlatformFront
-from umberlead.limits import BODY_MOST, deal, held
-from umberlead.net.attempts import IDLE_PART, Pool
-from umberlead.net.discovery import Watch
-from umberlead.net.http import Clients, Handler, Listener
-from umberlead.plugins import Plugins
-from umberlead.shared import Shared
-from umberlead.telemetry import Syslog, logger
-
-ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
-# SIGKILL follows SIGTERM by the longest deadline, counted as 3 s at most, plus 0.7 s. So long before that, as
-# much of it as is not needed here, connections that stand are served on, and what is open is answered.
-KILL_MOST, KILL_MORE = 3_000_000, 700_000
-SERVING, ANSWERING = 400_000, 200_000
-SWEEP = 100_000
-REPORT = 10_000_000  # us between the counters' lines
-
-
-def module_clock() -> Callable[[], int]:
-    """Whole microseconds that only move forward, anchored once to Unix time: discovery's times compare."""
-    anchor = time.time_ns() - time.monotonic_ns()
-    return lambda: (time.monotonic_ns() + anchor) // 1000
-
-
-class Front:
-    """The parts of one process, wired together."""
-
-    def __init__(self, conf: config.Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.conf, self.loop, self.held = conf, loop, held()
-        self.counters = Counters()
-        self.syslog = Syslog(conf.collector, self.counters)
-        self.log = logger(conf.name, lambda: self.conf.log_level, self.syslog)
-        self.clock = module_clock()
-        self.wheel = Wheel(self.clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), conf.tick)
-        trace = self.log.debug if conf.log_level == "debug" else None
-        hooks = Plugins(conf.plugins, conf.plugin_limit, self.counters, self.log.warning, trace)
-        self.engine = Engine(
-            conf.settings, conf.seed, self.clock, self.wheel, loop.call_soon, self.counters, self.log.error,
-            hooks if hooks.plugins or trace else None,
-        )  # fmt: skip
-        self.pool = Pool(
-            self.engine, loop, self.wheel, self.clock, self.counters, 0,
-            conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal", self.log.info,
-        )  # fmt: skip
-        self.engine.carrier = self.pool
-        self.servers: list[Listener] = []
-        self.groups: list[Clients] = []
-        self.handlers: list[Handler] = []
-        self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
-        self.shared, self.processes = Shared(conf.state), 1
-        if self.shared.fault:
-            self.log.warning("nothing_shared", why=self.shared.fault)
-        self.marks: dict[str, int] = {}  # chunk servers out by hand
-        self.watch: Watch | None = None
-        self.done = asyncio.Event()
-        self.told_to_stop = self.stopping = False
-
-    def told(self, listing: config.Listing) -> None:
-        known = self.pool.addresses
-        if listing.whole:
-            known.clear()
-        for endpoint in listing.endpoints:
-            if endpoint.node.state is NodeState.GONE:
-                known.pop(endpoint.node.node, None)  # on days that replace all again and again they add up
-            elif endpoint.address is not None:
-                known[endpoint.node.node] = endpoint.address
-        self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
-
-    def limit(self) -> None:
-        """The caps that follow from the configuration, at the start and with each reload."""
-        conf = self.conf
-        # Two processes of a front have one front's limits between them.
-        of = deal(conf.sockets // self.processes, conf.memory // self.processes, *self.held)
-        self.pool.most, self.pool.memory, self.pool.head_most = of.nodes, of.answers, of.head
-        self.pool.answer_most = of.answer
-        self.pool.idle_time = int(conf.keepalive * IDLE_PART)
-        self.engine.names_most, self.syslog.most = of.names, of.lines
-        for group in self.groups:
-            group.most, group.idle = max(of.clients // len(self.groups), 1), conf.client_idle
-            group.memory, group.head_most = of.bodies // len(self.groups), of.head
-        for _, group in self.doors:
-            group.most, group.memory, group.head_most = of.doors, BODY_MOST, of.head
-        if conf.objects is not None:  # the operator's own cap holds below that
-            self.groups[-1].memory = min(self.groups[-1].memory, conf.objects.memory)
-        for handler in self.handlers:
-            handler.retry_after = self.conf.retry_after
-
-    def look(self) -> None:
-        """What other processes of this front, and calls at their doors, have changed."""
-        processes, marks = 1 + self.shared.others(), self.shared.marks()
-        if processes != self.processes:
-            self.log.info("processes", now=processes, before=self.processes)
-            self.processes = processes
-            self.limit()
-        for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
-            self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
-            self.engine.by_hand(node, node in marks, marks.get(node, 0))
-        self.marks = marks
-
-    def mark(self, node: str, out: bool) -> None:
-        """An operator's call: it holds once it is answered."""
-        self.shared.mark(node, out)
-        self.look()
-
-    def clients(self) -> Clients:
-        made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
-        self.groups.append(made)
-        return made
-
-    def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
-        share = self.shared.root is not None
-        listener = Listener(handler, clients, address, self.loop, share)
-        self.servers.append(listener)
-        self.log.info("listening", address=":".join(map(str, listener.address)))
-
-    async def run(self) -> None:
-        conf = self.conf
-        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self.loop.add_signal_handler(signal.SIGINT, self.stop)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.told(conf.known)
-        if conf.discovery is not None:
-            self.watch = Watch(
-                conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
-                self.log.warning, self.told,
-            )  # fmt: skip
-            self.watch.open()
-        ready: list[tuple[Handler, Clients, config.Address]] = []
-        if conf.listen is not None:
-            platform = PlatformFront(self.engine, conf.retry_after, conf.margin)
-            ready.append((platform, self.clients(), conf.listen))
-        if conf.objects is not None:
-            # A front that is back sooner is missed less: what only this one needs is loaded only for it.
-            from umberlead.fronts.ledger import Ledger
-            from umberlead.fronts.objects import ObjectFront
-
-            clients = self.clients()
-            of = conf.objects
-            ledger = Ledger(conf.name, self.clock, of.max_uploads, of.max_parts, of.upload_idle)
-            objects = ObjectFront(of, self.engine, ledger, clients, conf.retry_after, self.log)
-            ready.append((objects, clients, of.listen))
-        self.handlers = [handler for handler, _, _ in ready]
-        if conf.management is not None:
-            door = Clients(0, self.clock, self.counters, conf.client_idle, 0, self.log.error)
-            control = ControlFront(
-                self.engine, lambda: bool(self.servers) and not self.told_to_stop, self.mark
-            )
-            self.doors.append((Listener(control, door, conf.management, self.loop), door))
-        self.look()
-        self.limit()
-        for handler, group, address in ready:
-            self.listen(handler, group, address)
-        self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, descriptors=conf.sockets)
-        self.sweep()
-        self.wheel.after(REPORT, self.reports)
-        # Most of what a request leaves is freed by count: cycles are few, and looked for less often the more
-        # memory there is for them.
-        gc.set_threshold(max(700, min(10_000, (conf.memory - self.held[1]) // 4096)), 20, 20)
-        gc.collect()
-        gc.freeze()  # what the start made stays: later collections pass it by
-        await self.done.wait()
-
-    def sweep(self) -> None:
-        self.look()
-        self.pool.sweep()
-        for clients in [*self.groups, *(group for _, group in self.doors)]:
-            clients.sweep()
-        for server in [*self.servers, *(door for door, _ in self.doors)]:
-            server.resume()
-        leaving = self.stopping or not any(s.open or s.coming for s in self.servers)
-        if leaving and not len(self.engine.tickets) and not any(len(c.slots) for c in self.groups):
-            self.done.set()
-        self.wheel.after(SWEEP, self.sweep)
-
-    def reload(self) -> None:
-        """SIGHUP: the file is read and checked whole. What can't be used leaves all as it was. It is taken
-        while the front stops, too: what it still sends must know who drains."""
-        self.counters.add("reloads")
-        try:
-            new = config.load()
-        except config.ConfigError as fault:
-            self.counters.add("reloads_refused")
-            self.log.error("reload_refused", key=fault.key, why=str(fault))
-            return
-        applied, waiting = config.changes(self.conf, new)
-        self.conf = replace(self.conf, **{name: getattr(new, name) for name in applied})
-        self.limit()
-        if self.watch is not None and new.discovery is not None:
-            self.watch.move(new.discovery)
-        elif "discovery" in applied:
-            waiting.append("discovery")
-        self.log.info("reloaded", applied=",".join(applied), at_next_start=",".join(waiting))
-
-    def stop(self) -> None:
-        """SIGTERM: clients keep coming for a moment, those that are here are served on for as long as the
-        time to answer them allows, and all that is taken is answered."""
-        if self.told_to_stop:
-            return
-        self.told_to_stop = True
-        self.log.info("stopping", open=len(self.engine.tickets))
-        for server in self.servers:
-            server.hurry()
-        for clients in self.groups:
-            clients.leaving = self.processes > 1  # what is closed here comes back to the other process
-            clients.stopping = True
-        longest = max(c.deadline for c in self.conf.settings.classes)
-        kill = min(longest, KILL_MOST) + KILL_MORE
-        self.wheel.after(ACCEPTING, self.close)
-        self.wheel.after(max(kill - SERVING, ACCEPTING), self.drain)
-        self.wheel.after(kill - ANSWERING, self.finish)
-
-    def close(self) -> None:
-        for server in self.servers:
-            if server.open:
-                self.counters.add("listeners_closed")
-                server.close()
-
-    def drain(self) -> None:
-        self.close()
-        self.stopping = True
-        for clients in self.groups:
-            clients.drain()
-
-    def finish(self) -> None:
-        """Nobody waits for us any longer: what is still open is answered now."""
-        self.engine.finish()
-        self.wheel.after(SWEEP, self.done.set)  # clients that never read or leave
-
-    def report(self) -> None:
-        self.log.info("counters", open=len(self.engine.tickets), **self.counters.report())
-
-    def reports(self) -> None:
-        self.report()
-        self.wheel.after(REPORT, self.reports)
-
-    def end(self) -> None:
-        if self.watch is not None:
-            self.watch.close()
-        self.pool.close()
-        for door, _ in self.doors:
-            door.close()
-        self.shared.leave()
-        self.report()
-        self.syslog.close()
 
 
 def main() -> int:
+    """The front that the environment describes: 0 at its end, 2 where it can't start."""
     # With io_uring, libuv has the kernel poll a queue that nothing here uses, in a thread counted as ours:
     # 4 s of the core's share in the first seconds of a front.
     os.environ["UV_USE_IO_URING"] = "0"
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the front can reload: the default ends the process
-    try:
-        conf = config.load()
-    except config.ConfigError as fault:
-        print(f"umberlead: {fault}", file=sys.stderr)
-        return 2
-
-    async def serve() -> None:
-        front = Front(conf, asyncio.get_running_loop())
-        front.loop.set_exception_handler(lambda _, told: _unexpected(front, told))
-        try:
-            await front.run()
-        finally:
-            front.end()
-            # A signal that crosses the end must not turn it into a crash: blocked while defaults come back.
-            signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1))
+    from umberlead import config
+    from umberlead.front import serve
 
     try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve())
+        serve(config.load())
     except config.ConfigError as fault:
         print(f"umberlead: {fault}", file=sys.stderr)
         return 2
@@ -298,11 +25,9 @@
     return 0
 
 
-def _unexpected(front: Front, told: dict[str, Any]) -> None:
-    front.counters.add("unexpected_errors")
-    fault = told.get("exception")
-    front.log.error("unexpected_error", what=str(told.get("message")), why=repr(fault), pid=os.getpid())
-
-
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from umberlead.commands import command
+
+        command(prog_name="umberlead")
     sys.exit(main())
--- /dev/null
+++ b/umberlead/commands/__init__.py
@@ -0,0 +1,34 @@
+"""The command line, on click. Only what a command needs is imported, and only when it runs.
+
+Exit codes: 0 done; 1 the answer is no (a list with problems, lists that differ); 2 the call itself can't be
+carried out. Results go to standard output, errors to standard error."""
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from umberlead.commands.lists import lists
+from umberlead.commands.play import demo, standin
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def command() -> None:
+    """umberlead: a front for storage nodes."""
+
+
+@command.command()
+@click.argument("config", required=False, type=click.Path(dir_okay=False, path_type=Path))
+def run(config: Path | None) -> None:
+    """Run one front: of CONFIG (TOML), or of the environment as `python -m umberlead` does."""
+    from umberlead.__main__ import main
+
+    if config is not None:
+        os.environ["UMBERLEAD_CONFIG"] = str(config)
+    sys.exit(main())
+
+
+command.add_command(lists, "list")
+command.add_command(standin)
+command.add_command(demo)
--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -28,6 +28,7 @@
     "objects",
     "plugins",
     "log",
+    "membership",
 )
 EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
 STATES = {"ready": i.NodeState.UP, "draining": i.NodeState.DRAINING, "gone": i.NodeState.GONE}
@@ -286,6 +287,20 @@
     memory: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lists:
+    """Watched lists of chunk servers; times in us."""
+
+    main: Path
+    snapshot: Path | None
+    settle: int
+    poll: int
+    withdrawn_most: float
+    half_life: int
+    suppress: float
+    reuse: float
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -298,6 +313,7 @@
     management: Address | None = None  # the operators' door
     state: Path | None = None  # what this process and the one that replaces it share
     objects: Objects | None = None
+    lists: Lists | None = None
     sockets: int = 1024
     memory: int = 192 << 20
     cores: float = 1.0
@@ -392,6 +408,7 @@
         discovery=k.address("discovery") if "discovery" in got else None,
         management=k.address("management") if "management" in got else None,
         objects=_objects(k.table("objects"), settings, common["settings"]) if "objects" in got else None,
+        lists=_lists(k.table("membership"), file.parent) if "membership" in got else None,
         plugins=scripts,
         plugin_limit=int(hooks.num("limit_ms", 5, 0.1, 1000) * 1000),
         collector=collector,
@@ -400,6 +417,38 @@
     )
 
 
+def _lists(k: Keys, folder: Path) -> Lists:
+    known = {
+        "list",
+        "snapshot",
+        "settle_ms",
+        "poll_ms",
+        "withdrawn_most",
+        "flap_half_life_s",
+        "flap_suppress",
+        "flap_reuse",
+    }
+    for key in k.got:
+        if key not in known:
+            raise k.wrong(str(key), f"is unknown; known are {', '.join(sorted(known))}")
+    text = k.text("snapshot", "")
+    made = Lists(
+        main=(folder / k.text("list")).absolute(),
+        snapshot=(folder / text).absolute() if text else None,
+        settle=int(k.num("settle_ms", 10, 0, 200) * 1000),
+        poll=int(k.num("poll_ms", 250, 20, 400) * 1000),
+        withdrawn_most=k.num("withdrawn_most", 0.25, 0, 1),
+        half_life=int(k.num("flap_half_life_s", 15, 0.1, 3600) * 1_000_000),
+        suppress=k.num("flap_suppress", 3, 1, 8),
+        reuse=k.num("flap_reuse", 1, 0.1, 8),
+    )
+    if made.reuse >= made.suppress:
+        raise k.wrong("flap_reuse", "must be below flap_suppress")
+    if made.snapshot is not None and not made.snapshot.parent.is_dir():
+        raise k.wrong("snapshot", f"no such folder: {made.snapshot.parent}")
+    return made
+
+
 def _objects(k: Keys, settings: dict[str, Any], made: i.Settings) -> Objects:
     if not made.marked:
         # the front asks for many blocks of one answer, each with less time left: unmarked, the module would
@@ -468,6 +517,8 @@
         raise ConfigError("EDGE_CONFIG", "is not set, and neither is UMBERLEAD_CONFIG")
     if made.listen is None and made.objects is None:
         raise ConfigError("listen", "neither the platform front nor the object front is set up")
-    if made.discovery is None and not made.known.endpoints:
-        raise ConfigError("discovery", "is missing, and known lists no endpoints")
+    if made.discovery is None and not made.known.endpoints and made.lists is None:
+        raise ConfigError(
+            "discovery", "is missing, known lists no endpoints, and there is no membership table"
+        )
     return made
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -12,19 +12,11 @@
 from itertools import count
 
 from umberlead.core import interface as api
+from umberlead.core import linear as la
+from umberlead.core.buckets import Store
 from umberlead.core.interface import Effect, NodeState, Result
-from umberlead.core.linear import (
-    Vector,
-    add_outer,
-    diagonal,
-    dot,
-    gram,
-    inverse,
-    solve_one,
-    times,
-    transposed,
-)
 from umberlead.core.records import Item, Try
+from umberlead.core.weighted import Smooth
 
 INTERVAL = 500_000  # us between control steps: the paper's interval for its file server
 FEW = 5  # answers under which shares stay (Fig. 3 of the paper): the interval goes on until it has them
@@ -71,27 +63,29 @@
         n = self.n = len(weights)
         self.share = self.rest = self.w = [w / sum(weights) for w in weights]  # W has them on its diagonal
         self.y = [1.0] * n
-        self.x = [minus + [0.0] * n for minus in diagonal(n, -1.0)]  # [B0 A1]
-        self.info = diagonal(2 * n, INFORMATION)
+        self.x = [minus + [0.0] * n for minus in la.diagonal(n, -1.0)]  # [B0 A1]
+        self.info = la.diagonal(2 * n, INFORMATION)
         self.phi = self.share + self.y
 
-    def learn(self, y: Vector) -> None:
+    def learn(self, y: la.Vector) -> None:
         """(4), on the information matrix. Forgetting acts along phi only and never takes information
         below nothing, so the covariance stays finite however little the input moves."""
-        phi, p_phi = self.phi, solve_one(self.info, self.phi)
-        scale = 1 / (FORGET + dot(phi, p_phi))
-        self.x = add_outer(self.x, [a - b for a, b in zip(y, times(self.x, phi), strict=True)], p_phi, scale)
-        kept = 1 + (FORGET - 1) * dot(phi, times(self.info, phi)) / dot(phi, phi) ** 2
-        self.info = add_outer(self.info, phi, phi, max(kept, 0.0))
-
-    def law(self, y: Vector) -> Vector:
+        phi, p_phi = self.phi, la.solve_one(self.info, self.phi)
+        scale = 1 / (FORGET + la.dot(phi, p_phi))
+        self.x = la.add_outer(
+            self.x, [a - b for a, b in zip(y, la.times(self.x, phi), strict=True)], p_phi, scale
+        )
+        kept = 1 + (FORGET - 1) * la.dot(phi, la.times(self.info, phi)) / la.dot(phi, phi) ** 2
+        self.info = la.add_outer(self.info, phi, phi, max(kept, 0.0))
+
+    def law(self, y: la.Vector) -> la.Vector:
         """(14): shares summing to one that bring the next y nearest the goal. Effort is counted from the
         plan weights: from zero, the plan of most weight would start with the least share."""
         b, a = [row[: self.n] for row in self.x], [row[self.n :] for row in self.x]
-        s = inverse(gram(b, self.w, EFFORT**2))
-        miss = [w * w * (GOAL - seen) for w, seen in zip(self.w, times(a, y), strict=True)]
-        pull = [v + EFFORT**2 * r for v, r in zip(times(transposed(b), miss), self.rest, strict=True)]
-        free, sums = times(s, pull), [sum(row) for row in s]
+        s = la.inverse(la.gram(b, self.w, EFFORT**2))
+        miss = [w * w * (GOAL - seen) for w, seen in zip(self.w, la.times(a, y), strict=True)]
+        pull = [v + EFFORT**2 * r for v, r in zip(la.times(la.transposed(b), miss), self.rest, strict=True)]
+        free, sums = la.times(s, pull), [sum(row) for row in s]
         return [u - (sum(free) - 1) / sum(sums) * t for u, t in zip(free, sums, strict=True)]
 
     def step(self, sums: list[float], counts: list[int]) -> None:
@@ -112,7 +106,7 @@
     """What this head knows of one node: bound, health, cold window."""
 
     def __init__(self, node: api.Node, s: api.Settings, fleet: Level, born: int, now: int, by: float) -> None:
-        self.s, self.info, self.cap = s, node, BOUND * s.mean_units
+        self.s, self.info = s, node
         self.bound = max(self.cap / s.heads, s.mean_units)  # all heads may begin at once
         self.level, self.out, self.rest_until = Level(now, fleet), 0.0, 0
         self.passed = 0  # when the latest sent of those served was sent
@@ -120,6 +114,10 @@
         self.cold_until = max(now, born + s.cold_window) + rest  # what was sent before our start is not known
         self.target = int(TARGET * min(c.aim for c in s.classes))
 
+    @property
+    def cap(self) -> float:
+        return min(BOUND * self.s.mean_units, self.info.units or NEVER)
+
     def cold_cost(self, now: int, units: float) -> float:
         """How long `units` take of this head's part of a warming node: of what it always bears in the window,
         which grows as slowly as a node may warm up. Where the part is smaller than a request, it is kept in
@@ -132,7 +130,7 @@
 
     def ready(self, now: int, units: float) -> float:
         """When the node may take `units` more."""
-        if self.info.state is not NodeState.UP or (self.out and self.out + units > self.bound):
+        if self.info.state is not NodeState.UP or (self.out and self.out + units > min(self.bound, self.cap)):
             return NEVER
         return max(self.rest_until, self.cold_until if self.cold_cost(now, units) else now)
 
@@ -212,18 +210,6 @@
         self.last[item.req.volume] = start + item.req.units * self.busy[item.plan] / weight
 
 
-class Store:
-    """A bucket of units, filling at `rate` a second up to `most`."""
-
-    def __init__(self, rate: float, most: float, have: float, now: int) -> None:
-        self.rate, self.most, self.have, self.at = rate / 1e6, most, have, now
-
-    def wait(self, now: int, units: float) -> int:
-        """How long until `units` are there."""
-        self.have, self.at = min(self.have + (now - self.at) * self.rate, self.most), now
-        return 0 if units <= self.have else int((units - self.have) / (self.rate or NEVER)) + 1
-
-
 class Volume:
     """A volume's stores, this head's parts of them. The limit starts with half a part of the slack, at the
     head's birth: a head that restarts can't know what it spent, so it never hands itself a full store. What
@@ -255,6 +241,7 @@
         self.by_shard: dict[int, dict[str, None]] = {}
         self.taken_out: dict[str, int] = {}  # by hand, and when
         self.put_back: dict[str, tuple[int, int]] = {}  # taken out, and back again: restarted in between
+        self.smooth, self.offered = Smooth(), dict[str, float]()
         self.lanes: dict[int, Lane] = {}
         self.volumes: dict[str, Volume] = {}
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
@@ -362,13 +349,20 @@
 
     def pick(self, shard: int, units: float) -> tuple[float, NodeView | None]:
         """The shard's node that can take `units` soonest; of those, where an answer comes soonest. So new
-        objects leave what the fullest and the slowest have to reads, which can go nowhere else."""
+        objects leave what the fullest and the slowest have to reads, which can go nowhere else. Where the
+        list gives weights, new objects go by these among the nodes that can take them now."""
         names = self.by_shard.get(shard, {}) if shard >= 0 else self.nodes
         views = [self.nodes[n] for n in names if n not in self.taken_out]
+        views = [v for v in views if shard >= 0 or v.info.weight != 0]
         ready = [
             (v.ready(self.now, units), v.level.read(self.now) * (v.out + units), k)
             for k, v in enumerate(views)
         ]
+        given = [w for v in views if (w := v.info.weight) is not None] if shard < 0 else []
+        free = [views[k].info for when, _, k in ready if when <= self.now] if given else []
+        self.offered = {n.node: 1.0 if n.weight is None else n.weight for n in free}
+        if self.offered:
+            return self.now, self.nodes[self.smooth.best(self.offered)]
         when, _, k = min(ready, default=(NEVER, 0.0, -1))
         return (when, views[k]) if when < NEVER else (NEVER, None)
 
@@ -496,6 +490,8 @@
             self.tag(shard, volume)
             item.out[item.tries] = view.send(self.now, units)
             self.at(view.overdue(self.now, units), self.overdue, item, item.tries)
+            if self.offered:
+                self.smooth.took(view.info.node, self.offered)
             item.shard = view.info.shard  # a new object stays with the shard that may have taken it
             item.tries += 1
             self.acts.append(api.Send(item.req.request, view.info.node))
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -103,6 +103,8 @@
     state: NodeState
     shard: int
     started: int = 0  # 0: long ago
+    weight: float | None = None  # its part of new objects, where the list gives weights
+    units: float = 0.0  # most units that one head has out there; 0: the design's bound alone
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/umberlead/core/weighted.py
@@ -0,0 +1,18 @@
+"""Smooth weighted choice: of those that can take a request, each in proportion to its weight, well mixed."""
+
+
+class Smooth:
+    """Each candidate gains its weight, the highest goes and pays the sum; who can't take any stands still."""
+
+    def __init__(self) -> None:
+        self._credit: dict[str, float] = {}
+
+    def best(self, weights: dict[str, float]) -> str:
+        return max(weights, key=lambda n: self._credit.get(n, 0.0) + weights[n])
+
+    def took(self, name: str, weights: dict[str, float]) -> None:
+        """Names that are no longer among `weights` lose what they had: tables don't grow, and one that comes
+        back begins anew."""
+        kept = {n: self._credit.get(n, 0.0) + w for n, w in weights.items()}
+        kept[name] -= sum(weights.values())
+        self._credit = kept
--- a/umberlead/fronts/control.py
+++ b/umberlead/fronts/control.py
@@ -1,8 +1,11 @@
-"""The operators' door: whether this process is ready, its figures, and chunk servers taken out by hand.
+"""The operators' door: whether this process is ready, its figures, the list in force, and chunk servers taken
+out by hand.
 
 It has places of its own, so that no crowd of clients keeps an operator out. A connection is one call."""
 
+import json
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import unquote
 
 from umberlead.core.engine import Engine, Kind
@@ -11,6 +14,7 @@
 COUNTED = ((Kind.SERVED, "ok"), (Kind.REFUSED, "shed"), (Kind.FAILED, "errors"))
 CHUNK_SERVERS = "/control/chunk-servers/"
 SWITCHES = {"offline": True, "online": False}
+LIST, SERVERS, CONFIRM = "/control/list", "/control/list/servers", "/control/list/confirm/"
 
 
 def figures(engine: Engine) -> bytes:
@@ -37,8 +41,15 @@
     slow_bodies = False
     retry_after = 0
 
-    def __init__(self, engine: Engine, ready: Callable[[], bool], mark: Callable[[str, bool], None]) -> None:
-        self.engine, self.ready, self.mark = engine, ready, mark
+    def __init__(
+        self,
+        engine: Engine,
+        ready: Callable[[], bool],
+        mark: Callable[[str, bool], None],
+        knows: Callable[[str], bool] | None = None,
+    ) -> None:
+        self.engine, self.ready, self.mark, self.knows = engine, ready, mark, knows or engine.knows
+        self.lists: Any = None  # where lists are watched
 
     def request(self, conn: ServerConnection, message: Message) -> None:
         conn.closing = True
@@ -46,6 +57,8 @@
         conn.reply(status, (b"Content-Type: text/plain; charset=utf-8",), body)
 
     def _call(self, method: bytes, path: str) -> tuple[int, bytes]:
+        if self.lists is not None and (path in (LIST, SERVERS) or path.startswith(CONFIRM)):
+            return self._list(method, path)
         node, _, word = path.removeprefix(CHUNK_SERVERS).partition("/")
         put = path.startswith(CHUNK_SERVERS) and word in SWITCHES
         if not put and path not in ("/control/ready", "/control/counters"):
@@ -58,8 +71,20 @@
             return 200, figures(self.engine)
         return (200, b"ready\n") if self.ready() else (503, b"not ready\n")
 
+    def _list(self, method: bytes, path: str) -> tuple[int, bytes]:
+        confirm = path.startswith(CONFIRM)
+        if method not in ((b"PUT",) if confirm else (b"GET", b"HEAD")):
+            return 405, b"this call is a PUT\n" if confirm else b"this call is a GET\n"
+        if not confirm:
+            told = self.lists.status() if path == LIST else self.lists.servers()
+            return 200, json.dumps(told, indent=1).encode() + b"\n"
+        try:
+            return 200, f"generation {self.lists.confirm(path.removeprefix(CONFIRM))}\n".encode()
+        except ValueError as fault:
+            return 409, f"{fault}\n".encode()
+
     def _switch(self, node: str, out: bool) -> tuple[int, bytes]:
-        if not self.engine.knows(node):
+        if not self.knows(node):
             return 404, b"no such chunk server\n"
         try:
             self.mark(node, out)
--- /dev/null
+++ b/umberlead/membership/joining.py
@@ -0,0 +1,64 @@
+"""Between the list in force and the parts of a front: what the engine and the pool are told of a change."""
+
+from typing import TYPE_CHECKING
+
+from umberlead import config
+from umberlead.core import interface as api
+from umberlead.core.interface import NodeState
+from umberlead.membership.damping import RETURN, Damping
+from umberlead.membership.machine import Rules
+from umberlead.membership.model import Change, Member, Server
+from umberlead.membership.service import ListService, Unusable, Watched
+
+if TYPE_CHECKING:
+    from umberlead.core.engine import Engine
+    from umberlead.front import Front
+    from umberlead.net.attempts import Pool
+
+
+def server_of(endpoint: config.Endpoint) -> Server:
+    """What discovery tells."""
+    node = endpoint.node
+    return Server(node.node, endpoint.address, node.shard, node.state, started=node.started)
+
+
+def node_of(member: Member, state: NodeState | None = None) -> api.Node:
+    server = member.server
+    return api.Node(
+        member.id, state or server.state, server.shard, server.started, server.weight, server.units
+    )  # fmt: skip
+
+
+def apply(change: Change, engine: "Engine", pool: "Pool") -> None:
+    """All of a change in one turn of the loop: no request is decided on between its parts. Marks come first,
+    so that a server out by hand is out when it comes in."""
+    for node, out, at in change.marks:
+        engine.by_hand(node, out, at)
+    left = {pool.addresses.pop(member.id, None) for member in change.went}
+    for member in (*change.came, *(after for _, after in change.changed)):
+        if member.server.address is not None:
+            pool.addresses[member.id] = member.server.address
+    pool.live = set(pool.addresses.values())
+    pool.left({address for address in left if address is not None} - pool.live)
+    nodes = [node_of(m, NodeState.GONE) for m in change.went]
+    nodes += [node_of(m) for m in (*(after for _, after in change.changed), *change.came)]
+    if nodes:
+        engine.listed(api.NodeList(False, tuple(nodes)))
+
+
+def start(of: config.Lists, front: "Front") -> ListService:
+    """The watch, with its first list in force; ConfigError where there is none to begin with."""
+    damping = Damping(of.half_life, of.suppress * RETURN, of.reuse * RETURN)
+    longest = max(c.deadline for c in front.conf.settings.classes)
+    rules = Rules(of.withdrawn_most, max(2 * longest, 60_000_000), damping)
+    watched = Watched(of.main, of.snapshot, of.settle / 1e6, of.poll / 1e6, rules)
+    made = ListService(
+        watched, front.conf.settings.shards, front.loop, front.clock, front.counters, front.log,
+        lambda change: apply(change, front.engine, front.pool),
+    )  # fmt: skip
+    try:
+        made.begin()
+    except Unusable as fault:
+        raise config.ConfigError("membership.list", str(fault)) from None
+    made.open()
+    return made
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -389,6 +389,8 @@
                 # Dropped before the request was on it: nothing was sent, and the node itself may be well.
                 self.pool.counters.add("node_connections_broke_early")
                 attempt.again = True
+                if self.pool.live is not None and self.address not in self.pool.live:
+                    return self.pool.engine.ended(attempt, Result.NO_LINK)  # it has left the list meanwhile
                 return self.pool.dial(attempt, self.address)
             if result is Result.NO_LINK and self.ours:
                 result = Result.MOOT  # the node has no part in it
@@ -468,6 +470,7 @@
         self.most, self.link_timeout, self.idle_time = most, link_timeout, int(keepalive * IDLE_PART)
         self.host = b"Host: %s\r\n" % service.encode()
         self.addresses: dict[str, Address] = {}
+        self.live: set[Address] | None = None  # where connections may be kept; None: anywhere
         self.idle: dict[Address, list[NodeConnection]] = {}
         self.risk = 0.0
         self.slots: Slots[NodeConnection] = Slots()
@@ -489,6 +492,13 @@
             return
         self.dial(attempt, address)
 
+    def left(self, addresses: set[Address]) -> None:
+        """Nobody is listed there any longer. What is out ends there; connections that rest end now, the
+        others with their answers."""
+        for address in addresses:
+            for conn in list(self.idle.get(address, [])):
+                conn.close()
+
     def dial(self, attempt: Attempt, address: Address) -> None:
         if len(self.slots) >= self.most and not self._evict():
             self.counters.add("node_connections_over_cap")
@@ -534,6 +544,9 @@
         attempt.carried.give_up(why)
 
     def rest(self, conn: NodeConnection) -> None:
+        if self.live is not None and conn.address not in self.live:
+            conn.close()
+            return
         conn.idle_since = self.clock()
         self.idle.setdefault(conn.address, []).append(conn)
 
--- /dev/null
+++ b/umberlead/standins/chunkserver.py
@@ -0,0 +1,190 @@
+"""A stand-in chunk server: the published protocol over a small model of a node, seeded.
+
+Two cores serve requests in turn of arrival, a waiting room holds some more, and what finds it full is turned
+away. Blocks are kept in memory. Every request that is read whole is a line in the record, which is what tests
+and measurements judge by: monotonic time in ns, server, id, class, block, shard and what became of it."""
+
+import asyncio
+import json
+import random
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import IO, Any, cast
+from urllib.parse import parse_qs
+
+import httptools
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """How a server behaves; times in s."""
+
+    cores: int = 2
+    waiting: int = 100
+    unit: float = 0.002  # mean work of a unit
+    spread: float = 0.5  # sigma of the log-normal factor on it
+    errors: float = 0.0  # part answered with 500 after the work
+    resets: float = 0.0  # part whose connection breaks after the work
+    keep: int = 200_000  # blocks held, the oldest go first
+    synthetic: bool = False  # reads of unknown blocks are answered with a body of their own
+
+
+class Record:
+    """Lines of what servers were asked, in a file or in memory."""
+
+    def __init__(self, file: IO[str] | None = None) -> None:
+        self.file, self.rows = file, list[dict[str, Any]]()
+        self.counts: Counter[str] = Counter()
+
+    def add(self, row: dict[str, Any]) -> None:
+        self.counts[row["server"]] += 1
+        if self.file is None:
+            self.rows.append(row)
+        else:
+            self.file.write(json.dumps(row) + "\n")
+
+    def flush(self) -> None:
+        if self.file is not None:
+            self.file.flush()
+
+
+class ChunkServer:
+    """One server at one address."""
+
+    def __init__(self, name: str, shard: int, model: Model, record: Record, seed: int) -> None:
+        self.name, self.shard, self.model, self.record = name, shard, model, record
+        self.chance = random.Random(f"{seed}/{name}")
+        self.blocks: dict[str, bytes] = {}
+        self.busy = 0
+        self.waiting: deque[Callable[[], None]] = deque()
+        self.listener: asyncio.Server | None = None
+        self.connections: set[_Connection] = set()
+
+    async def listen(self, host: str, port: int) -> int:
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(lambda: _Connection(self), host, port, backlog=512)
+        return int(self.listener.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        for conn in list(self.connections):
+            if conn.transport is not None:
+                conn.transport.abort()
+
+    def work(self, units: float) -> float:
+        factor = self.chance.lognormvariate(-(self.model.spread**2) / 2, self.model.spread)
+        return self.model.unit * units * factor
+
+    def begin(self, job: Callable[[], None]) -> bool:
+        """Run `job` once a core is free; False where the room is full."""
+        if self.busy < self.model.cores:
+            self.busy += 1
+            job()
+        elif len(self.waiting) < self.model.waiting:
+            self.waiting.append(job)
+        else:
+            return False
+        return True
+
+    def finished(self) -> None:
+        if self.waiting:
+            self.waiting.popleft()()
+        else:
+            self.busy -= 1
+
+    def store(self, block: str, body: bytes) -> None:
+        self.blocks[block] = body
+        while len(self.blocks) > self.model.keep:
+            del self.blocks[next(iter(self.blocks))]
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: ChunkServer) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.target, self.headers, self.body = b"", dict[bytes, bytes](), b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport is not None:
+                self.transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        method, target, headers, body = self.parser.get_method(), self.target, self.headers, self.body
+        self._reset()
+        server, path = self.server, target.decode("latin-1").partition("?")
+        io = dict(p.partition("=")[::2] for p in headers.get(b"x-io", b"").decode("latin-1").split(","))
+        block = parse_qs(path[2]).get("block", [""])[0]
+        row = {
+            "t": time.monotonic_ns(),
+            "server": server.name,
+            "id": headers.get(b"x-call-id", b"").decode("latin-1"),
+            "class": path[0].strip("/"),
+            "method": method.decode(),
+            "block": block,
+            "shard": int(io.get("shard", "-1")),
+        }
+        if row["shard"] not in (-1, server.shard):
+            server.record.add(row | {"end": "astray"})
+            return self.answer(504, b"", b"X-Rejected: 1\r\n")
+        units = float(io.get("units", "1"))
+        if not server.begin(lambda: self._work(row, units, method, block, body)):
+            server.record.add(row | {"end": "full"})
+            self.answer(503, b"", b"X-Rejected: 1\r\n")
+
+    def _work(self, row: dict[str, Any], units: float, method: bytes, block: str, body: bytes) -> None:
+        """A cancel stops nothing: what has begun runs to its end, whoever still listens."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.server.work(units), self._end, row, method, block, body)
+
+    def _end(self, row: dict[str, Any], method: bytes, block: str, body: bytes) -> None:
+        server, model = self.server, self.server.model
+        draw = server.chance.random()
+        end = "error" if draw < model.errors else "reset" if draw < model.errors + model.resets else "ok"
+        if method == b"PUT":
+            server.store(block, body)  # an answer that gets lost, or is an error, may have run
+        server.record.add(row | {"end": end})
+        server.finished()
+        if end == "reset":
+            if self.transport is not None:
+                self.transport.abort()
+        elif end == "error":
+            self.answer(500, b"failed\n")
+        elif method == b"PUT":
+            self.answer(200, b"stored\n")
+        elif block in server.blocks:
+            self.answer(200, server.blocks[block])
+        elif model.synthetic:
+            self.answer(200, block.encode() * 16)
+        else:
+            self.answer(404, b"")
+
+    def answer(self, status: int, body: bytes, more: bytes = b"") -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            head = b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n" % (status, len(body), more)
+            self.transport.write(head + body)
--- /dev/null
+++ b/umberlead/standins/explore.py
@@ -0,0 +1,198 @@
+"""Walks all orders of a small alphabet of events through the membership machine, to a stated depth.
+
+States that were met before at the same depth or less are not walked again. `python -m
+umberlead.standins.explore DEPTH` prints how many states and steps there were; any broken rule ends it with
+the events that led there."""
+
+import copy
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from umberlead.core.interface import NodeState
+from umberlead.membership.damping import Damping
+from umberlead.membership.machine import Membership, NotPending, Rules
+from umberlead.membership.model import Change, Listing, Place, Problem, Server
+from umberlead.standins.reference import Broken, Follower, Reference, compare
+
+UP, DRAINING, GONE = NodeState.UP, NodeState.DRAINING, NodeState.GONE
+SECOND = 1_000_000
+RULES = Rules(0.5, 40 * SECOND, Damping(10 * SECOND, 1500.0, 1000.0, 4000.0))
+
+
+def server(name: str, port: int, shard: int = 0, state: NodeState = UP, started: int = 0) -> Server:
+    return Server(name, ("127.0.0.1", port), shard, state, started=started)
+
+
+def listing(digest: str, *servers: Server) -> Listing:
+    return Listing(1, digest * 16, {s.name: s for s in servers}, ("l",))
+
+
+A, B, C = server("a", 1), server("b", 2), server("c", 3)
+LISTS = {
+    "both": listing("11111111", A, B),
+    "a": listing("22222222", A),
+    "a drains": listing("33333333", server("a", 1, state=DRAINING), B),
+    "a moved": listing("44444444", server("a", 9), B),
+    "a other shard": listing("55555555", server("a", 1, 1), B, C),
+    "none of them": listing("66666666", C),
+}
+
+
+@dataclass
+class World:
+    machine: Membership
+    reference: Reference
+    follower: Follower
+    now: int = SECOND
+
+    @classmethod
+    def new(cls, rules: Rules = RULES) -> "World":
+        machine = Membership(rules)
+        return cls(machine, Reference(machine), Follower())
+
+    def copy(self) -> "World":
+        machine = copy.deepcopy(self.machine)
+        reference = Reference(machine)
+        reference.facts = self.reference.facts.copy()
+        return World(machine, reference, self.follower.copy(), self.now)
+
+    def told(self, change: Change) -> None:
+        self.follower.take(change, self.now, self.machine.rules.remember)
+
+    # Each event goes to the machine and, as a fact, to the reference.
+
+    def files(self, of: Listing) -> None:
+        facts, machine = self.reference.facts, self.machine
+        allowed = self.reference.allows(of)
+        same = facts.listing is not None and facts.listing.digest == of.digest
+        self.told(machine.files(self.now, of))
+        if allowed or same:
+            facts.listing = of
+            if machine.pending is not None or machine.complaint:
+                raise Broken("a list was taken, and is complained of")
+        elif machine.pending is None or machine.pending.listing is not of or not machine.complaint:
+            raise Broken("a list that takes away too much is not held")
+
+    def refused(self) -> None:
+        before = dict(self.machine.members)
+        self.machine.refused([Problem("L102", Place("l", 1), "half written")])
+        if self.machine.members != before or self.machine.pending is not None or not self.machine.complaint:
+            raise Broken("a broken file changed the list, or was not complained of")
+
+    def confirm(self, digest: str) -> None:
+        pending = self.machine.pending
+        try:
+            change = self.machine.confirm(self.now, digest)
+        except NotPending:
+            if pending is not None and len(digest) >= 8 and pending.listing.digest.startswith(digest):
+                raise Broken("the list that is held was not taken when confirmed") from None
+            return
+        if pending is None or len(digest) < 8 or not pending.listing.digest.startswith(digest):
+            raise Broken("a list was confirmed that is not held")
+        self.reference.facts.listing = pending.listing
+        self.told(change)
+
+    def discovery(self, whole: bool, *servers: Server) -> None:
+        known = self.reference.facts.discovered
+        if whole:
+            known.clear()
+        for s in servers:
+            if s.state is GONE:
+                known.pop(s.name, None)
+            else:
+                known[s.name] = s
+        self.told(self.machine.discovery(self.now, whole, servers))
+
+    def mark(self, name: str, out: bool) -> None:
+        (self.reference.facts.marks.add if out else self.reference.facts.marks.discard)(name)
+        self.told(self.machine.mark(self.now, name, out, self.now))
+
+    def wait(self, by: int) -> None:
+        self.now += by
+        self.reference.pass_time(self.now)
+        self.told(self.machine.tick(self.now))
+
+    def settle(self) -> None:
+        self.reference.settle(self.now)
+        compare(self.machine, self.reference, self.follower)
+        self._held()
+
+    def _held(self) -> None:
+        """A held server is let in by `longest` at the latest, and `next` tells when something is due."""
+        due = self.machine.next()
+        if due is None and self.reference.facts.held:
+            raise Broken("somebody is held, and nothing will ever let it in")
+        if due is not None and due > self.now + self.machine.rules.damping.longest:
+            raise Broken("a server is held for longer than the rules allow")
+
+    def key(self) -> object:
+        """What decides what may still come. Ids and generations are left out: they only grow."""
+        m, facts = self.machine, self.reference.facts
+        ages = sorted((n, round(v), self.now - at) for n, (v, at) in facts.penalty.items())
+        return (
+            m.listing.digest if m.listing else None, m.origin, m.pending.listing.digest if m.pending else
+            None, bool(m.complaint), tuple(sorted(facts.marks)), tuple(sorted(facts.held)), tuple(ages),
+            tuple(sorted((n, s.address, s.shard, s.state.value) for n, s in facts.discovered.items())),
+            tuple(sorted((n, self.now - at) for n, at in facts.lost.items())),
+            tuple(sorted((n, m.server.address, m.server.shard) for n, m in m.members.items())),
+        )  # fmt: skip
+
+
+Event = tuple[str, Callable[[World], None]]
+
+
+def alphabet() -> Iterator[Event]:
+    for name, of in LISTS.items():
+        yield f"files: {name}", lambda w, of=of: w.files(of)  # type: ignore[misc]
+    yield "files: broken", World.refused
+    for name in ("a", "none of them"):
+        digest = LISTS[name].digest
+        yield f"confirm: {name}", lambda w, d=digest: w.confirm(d[:8])  # type: ignore[misc]
+    yield "confirm: too short", lambda w: w.confirm("6")
+    yield "discovery: a ready", lambda w: w.discovery(False, replace_started(A, w.now))
+    yield "discovery: a drains", lambda w: w.discovery(False, server("a", 1, state=DRAINING))
+    yield "discovery: a gone", lambda w: w.discovery(False, server("a", 1, state=GONE))
+    yield "discovery: all is b elsewhere", lambda w: w.discovery(True, server("b", 8))
+    yield "hand: a out", lambda w: w.mark("a", True)
+    yield "hand: b out", lambda w: w.mark("b", True)
+    yield "hand: a back", lambda w: w.mark("a", False)
+    yield "time: 1 s", lambda w: w.wait(SECOND)
+    yield "time: 15 s", lambda w: w.wait(15 * SECOND)
+    yield "time: 60 s", lambda w: w.wait(60 * SECOND)
+
+
+def replace_started(of: Server, at: int) -> Server:
+    return Server(of.name, of.address, of.shard, of.state, started=at)
+
+
+def explore(depth: int, rules: Rules = RULES) -> tuple[int, int]:
+    """States and steps walked; `Broken` with the events that led there."""
+    events = list(alphabet())
+    met: dict[object, int] = {}
+    steps = 0
+    stack: list[tuple[World, tuple[str, ...]]] = [(World.new(rules), ())]
+    while stack:
+        world, path = stack.pop()
+        left = depth - len(path)
+        key = world.key()
+        if met.get(key, -1) >= left:
+            continue
+        met[key] = left
+        if not left:
+            continue
+        for name, act in events:
+            follow = world.copy()
+            steps += 1
+            try:
+                act(follow)
+                follow.settle()
+            except Exception as fault:
+                raise Broken(f"after {' | '.join((*path, name))}: {type(fault).__name__}: {fault}") from fault
+            stack.append((follow, (*path, name)))
+    return len(met), steps
+
+
+if __name__ == "__main__":
+    states, steps = explore(int(sys.argv[1]) if len(sys.argv) > 1 else 4)
+    print(f"{states} states, {steps} steps, no rule broken")
--- /dev/null
+++ b/umberlead/standins/reference.py
@@ -0,0 +1,194 @@
+"""A slow and plain account of what the list in force must be, to hold the membership machine against.
+
+It keeps the facts alone (what each source last said, who is out by hand, when whom came back) and works the
+whole list out anew after each event. `Watcher` follows the changes that the machine tells, as a front does,
+and finds what no single state shows: ids used twice, generations that jump, marks told for the wrong
+server."""
+
+from dataclasses import dataclass, field, replace
+
+from umberlead.core.interface import NodeState
+from umberlead.membership.machine import Membership
+from umberlead.membership.model import Change, Listing, Server, Source
+
+
+class Broken(AssertionError):
+    """A rule of the list in force was broken."""
+
+
+@dataclass
+class Facts:
+    """What was told, and by whom."""
+
+    listing: Listing | None = None
+    discovered: dict[str, Server] = field(default_factory=dict)
+    marks: set[str] = field(default_factory=set)
+    ready_before: set[str] = field(default_factory=set)
+    places: dict[str, tuple[object, ...]] = field(default_factory=dict)  # last address and shard by name
+    lost: dict[str, int] = field(default_factory=dict)  # was ready, is not, since when
+    gone: dict[str, int] = field(default_factory=dict)  # is in no source, since when
+    penalty: dict[str, tuple[float, int]] = field(default_factory=dict)
+    held: set[str] = field(default_factory=set)
+
+    def copy(self) -> "Facts":
+        return Facts(
+            self.listing, dict(self.discovered), set(self.marks), set(self.ready_before), dict(self.places),
+            dict(self.lost), dict(self.gone), dict(self.penalty), set(self.held),
+        )  # fmt: skip
+
+
+class Reference:
+    def __init__(self, rules_of: Membership) -> None:
+        self.rules, self.facts = rules_of.rules, Facts()
+
+    def say(self, name: str) -> tuple[Server, Source] | None:
+        """What all sources together want of a server."""
+        listed = self.facts.listing.servers.get(name) if self.facts.listing else None
+        other = self.facts.discovered.get(name)
+        if listed is None and other is None:
+            return None
+        if listed is None:
+            assert other is not None
+            return other, Source.DISCOVERY
+        if other is None:
+            return listed, Source.FILES
+        state = listed.state if listed.state is not NodeState.UP else other.state
+        return replace(listed, state=state, started=max(listed.started, other.started)), Source.FILES
+
+    def names(self) -> set[str]:
+        listed = set(self.facts.listing.servers) if self.facts.listing else set()
+        return listed | set(self.facts.discovered)
+
+    def _now(self, name: str, now: int) -> float:
+        value, at = self.facts.penalty.get(name, (0.0, now))
+        return float(value * 2.0 ** (-(now - at) / self.rules.damping.half_life))
+
+    def settle(self, now: int, spoken_of: set[str] | None = None) -> None:
+        """After an event: who came back is charged, whose time is over is let go."""
+        facts, damping = self.facts, self.rules.damping
+        ready = set()
+        for name in self.names() | facts.ready_before:
+            got = self.say(name)
+            is_ready = got is not None and got[0].state is NodeState.UP
+            if got is not None:
+                place = (got[0].address, got[0].shard)
+                moved = name in facts.places and facts.places[name] != place
+                facts.places[name] = place
+            else:
+                moved = False
+            if is_ready:
+                ready.add(name)
+                if name in facts.lost or (moved and name in facts.ready_before):
+                    facts.lost.pop(name, None)
+                    value = min(self._now(name, now) + 1000.0, damping.most)
+                    facts.penalty[name] = (value, now)
+                    if value > damping.suppress:
+                        facts.held.add(name)
+            elif name in facts.ready_before:
+                facts.lost[name] = now
+        facts.ready_before = ready
+        facts.gone = {n: facts.gone.get(n, now) for n in facts.places.keys() - self.names()}
+
+    def pass_time(self, now: int) -> None:
+        facts = self.facts
+        for name in list(facts.held):
+            if self._now(name, now) < self.rules.damping.reuse:
+                facts.held.discard(name)
+        for name, at in list(facts.lost.items()):
+            if at <= now - self.rules.remember:
+                del facts.lost[name]
+        for name, at in list(facts.gone.items()):
+            if at <= now - self.rules.remember:
+                del facts.gone[name], facts.places[name]
+
+    def in_force(self) -> dict[str, tuple[Server, bool]]:
+        """The list that must be in force, and who is held."""
+        facts, made = self.facts, {}
+        for name in self.names():
+            got = self.say(name)
+            assert got is not None
+            server = got[0]
+            held = False
+            if server.state is NodeState.UP and name in facts.held:
+                others = [n for n in facts.ready_before if n != name and self._shard(n) == server.shard]
+                held = any(n not in facts.held and n not in facts.marks for n in others)
+            if held:
+                server = replace(server, state=NodeState.DRAINING)
+            made[name] = (server, held)
+        return made
+
+    def _shard(self, name: str) -> int:
+        got = self.say(name)
+        return got[0].shard if got is not None else -1
+
+    def allows(self, listing: Listing) -> bool:
+        """Whether a list may be taken without an operator's word."""
+        old = self.facts.listing
+        if old is None:
+            return True
+        ready = {n for n, s in old.servers.items() if s.state is NodeState.UP}
+        kept = {n for n, s in listing.servers.items() if s.state is NodeState.UP}
+        served, will = ({of.servers[n].shard for n in names} for of, names in ((old, ready), (listing, kept)))
+        few = len(ready - kept) <= max(int(len(ready) * self.rules.withdrawn_most), 1)
+        return few and not served - will
+
+
+class Follower:
+    """What a front makes of the changes told: servers by id, and marks by id."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+        self.marks: set[str] = set()
+        self.meant: dict[str, tuple[object, int]] = {}  # id to its address and shard
+        self.gone: dict[str, int] = {}  # ids that went, and when
+        self.generation = 0
+
+    def copy(self) -> "Follower":
+        made = Follower()
+        made.servers, made.marks = dict(self.servers), set(self.marks)
+        made.meant, made.gone, made.generation = dict(self.meant), dict(self.gone), self.generation
+        return made
+
+    def take(self, change: Change, now: int, remember: int) -> None:
+        """An id may mean another server once it has been gone for `remember`, by when nothing of it is
+        out."""
+        for node in [n for n, at in self.gone.items() if at <= now - remember]:
+            del self.gone[node], self.meant[node]
+        moved = bool(change.came or change.changed or change.went)
+        if change.generation != self.generation + moved:
+            raise Broken(f"generation {change.generation} after {self.generation}, moved {moved}")
+        self.generation = change.generation
+        for node, out, _ in change.marks:
+            if out == (node in self.marks):
+                raise Broken(f"the mark of {node} is told twice")
+            (self.marks.add if out else self.marks.discard)(node)
+        for member in change.went:
+            if self.servers.pop(member.id, None) is None:
+                raise Broken(f"{member.id} went without being there")
+            self.gone[member.id] = now
+        for before, after in change.changed:
+            if before.id != after.id or self.servers.get(before.id) != before.server:
+                raise Broken(f"{before.id} changed from what it was not")
+            self.servers[after.id] = after.server
+        for member in change.came:
+            if member.id in self.servers:
+                raise Broken(f"{member.id} came twice")
+            self.servers[member.id] = member.server
+            self.gone.pop(member.id, None)
+        for node, server in self.servers.items():
+            place = (server.address, server.shard)
+            if self.meant.setdefault(node, place) != place:
+                raise Broken(f"{node} was {self.meant[node]} and is {place}")
+
+
+def compare(machine: Membership, reference: Reference, follower: Follower) -> None:
+    """`Broken` where the machine, what it told, and the plain account differ."""
+    want = reference.in_force()
+    have = {name: (m.server, m.held) for name, m in machine.members.items()}
+    if have != want:
+        raise Broken(f"in force is {have}, must be {want}")
+    if {m.id: m.server for m in machine.members.values()} != follower.servers:
+        raise Broken("what was told adds up to something else than what is in force")
+    marked = {machine.members[n].id for n in reference.facts.marks if n in machine.members}
+    if marked != follower.marks:
+        raise Broken(f"marked by what was told: {follower.marks}; must be {marked}")
