--- a/tests/test_lists_files.py
+++ b/tests/test_lists_files.py
@@ -233,6 +233,13 @@
     assert codes(load(tmp_path)) == ["L406"]
 
 
+def test_a_file_is_included_once_and_a_loop_is_shown(tmp_path: Path) -> None:
+    twice = load(tmp_path, main=whole("include b.list", "include b.list"), b=text(ONE))
+    assert [(p.code, p.place.line) for p in twice.verdict.problems] == [("L403", 4)]
+    round_ = load(tmp_path, main=whole(ONE, "include b.list"), b=text("include main.list"))
+    assert [p.text for p in round_.verdict.problems] == ["main.list -> b.list -> main.list"]
+
+
 def test_a_drop_in_folder_that_is_away_is_no_empty_list(tmp_path: Path) -> None:
     assert codes(load(tmp_path, main=whole(ONE, "include d/*.list"))) == ["L404"]
 
--- a/tests/test_lists_front.py
+++ b/tests/test_lists_front.py
@@ -79,7 +79,8 @@
         host, port = re.findall(r'address="([\d.]+):(\d+)"', line)[0]
         self.address = (host, int(port))
 
-    async def _read(self, stream: asyncio.StreamReader) -> None:
+    async def _read(self, stream: asyncio.StreamReader | None) -> None:
+        assert stream is not None
         while line := await stream.readline():
             self.lines.append(line.decode())
 
--- a/tests/test_lists_machine.py
+++ b/tests/test_lists_machine.py
@@ -132,6 +132,32 @@
     assert flaps.due(now + 10 * rules.longest) and not flaps._at  # what has faded is forgotten
 
 
+def test_who_is_held_depends_on_who_else_there_is() -> None:
+    """Held for flapping, a server is let in as soon as nobody else would take its shard's work."""
+    m = Membership(Rules(1.0, 60 * SECOND, Damping(30 * SECOND, 1500.0, 1000.0, 4000.0)))
+    now = 1
+    for _ in range(3):
+        m.discovery(now := now + SECOND, True, [A, B])
+        m.discovery(now := now + SECOND, True, [B])
+    m.discovery(now := now + SECOND, True, [A, B])
+    assert m.members["a"].held
+    assert [x.held for _, x in m.mark(now, "b", True, now).changed] == [False]
+    assert [x.held for _, x in m.mark(now, "b", False).changed] == [True]
+    gone = m.discovery(now, False, [server("b", 2, state=NodeState.GONE)])
+    assert ([x.id for x in gone.went], [x.held for _, x in gone.changed]) == (["b"], [False])
+    assert [x.held for _, x in m.discovery(now, False, [B]).changed] == [True]
+
+
+def test_names_that_left_are_forgotten() -> None:
+    """Of ever new servers the tables would grow for ever, ready or draining as they left."""
+    m, now = Membership(Rules()), 0
+    for k in range(50):
+        state = NodeState.UP if k % 2 else NodeState.DRAINING
+        m.discovery(now := now + SECOND, True, [server(f"s{k}", k, state=state)])
+    m.tick(now + 200 * SECOND)
+    assert len(m._ids) == 1 and not m._left and not m._gone and len(m._willing) == 1
+
+
 @pytest.mark.parametrize("rules", [(0, 3, 1, 8), (1, 1, 1, 8), (1, 3, 0, 8), (1, 9, 1, 8)])
 def test_damping_that_makes_no_sense_is_refused(rules: tuple[int, float, float, float]) -> None:
     with pytest.raises(ValueError):
