--- a/Makefile
+++ b/Makefile
@@ -1,20 +1,29 @@
 # build: what `run` and `sim` need, into .venv   check: the tests and lint, in a venv of their own
+# run: an object front over a watched list, with stand-ins behind it, in a third
 PYTHON ?= python3
 DEV := .ci-venv
+FULL := .run-venv
+CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check run clean
+.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
 		.venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/requirements.done)
 	.venv/bin/python -m compileall -q umberlead
 
-$(DEV)/requirements.done: requirements.txt requirements-dev.txt
+$(DEV)/requirements.done: requirements.txt requirements-more.txt requirements-dev.txt
 	rm -rf $(DEV)
 	$(PYTHON) -m venv $(DEV)
 	$(DEV)/bin/pip -q install -r requirements-dev.txt
 	touch $@
 
+$(FULL)/requirements.done: requirements.txt requirements-more.txt
+	rm -rf $(FULL)
+	$(PYTHON) -m venv $(FULL)
+	$(FULL)/bin/pip -q install -r requirements-more.txt
+	touch $@
+
 test: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m pytest
 
@@ -25,8 +34,25 @@
 
 check: test lint
 
-run: build
-	UMBERLEAD_CONFIG="$${UMBERLEAD_CONFIG:-deploy/objects.toml}" .venv/bin/python -B -m umberlead
+run: $(FULL)/requirements.done
+	$(FULL)/bin/python -B -m umberlead demo $(CONFIG)
+
+# One front of CONFIG alone, with what the configuration names behind it.
+front: $(FULL)/requirements.done
+	$(FULL)/bin/python -B -m umberlead run $(CONFIG)
+
+# 45 mistakes planted in the lists' code, one at a time; half a minute.
+planted-lists: $(DEV)/requirements.done
+	$(DEV)/bin/python -B tests/planted.py
+
+# All orders of events through the lists' machine, to DEPTH.
+DEPTH ?= 5
+explore-lists: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m umberlead.standins.explore $(DEPTH)
+
+# 50 swaps a second under load; 3 minutes and a quiet machine. Writes docs/measurements/.
+bench-lists bench-watch: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.watched_lists --keep
 
 clean:
-	rm -rf .venv $(DEV) .pytest_cache .mypy_cache .ruff_cache
+	rm -rf .venv $(DEV) $(FULL) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/umberlead/load/platform.py
@@ -0,0 +1,178 @@
+"""A load generator for the platform's protocol: arrivals are drawn ahead and wait for no answer.
+
+A request's latency runs from the time at which it was due, so that a front which stalls is not spared what it
+held up (coordinated omission). Each client keeps connections of its own and opens more once all are busy."""
+
+import asyncio
+import random
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+from hdrh.histogram import HdrHistogram
+
+LONGEST = 60_000_000  # us that the histogram tells apart
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is asked; rates are requests a second over all fronts."""
+
+    rate: float
+    seconds: float
+    seed: int
+    shards: int
+    volumes: int = 40
+    writes: float = 0.3
+    plan: str = "basic"
+    read: str = "image-read"
+    write: str = "image-upload"
+    budget: float = 2.0
+    units: tuple[int, ...] = (1, 1, 2, 2, 3, 6)
+
+
+@dataclass(slots=True)
+class Asked:
+    at: float  # s after the start
+    front: int
+    id: str
+    write: bool
+    shard: int
+    volume: int
+    units: int
+    block: str
+
+
+def draw(plan: Plan, fronts: int) -> list[Asked]:
+    """All requests of a run, from its seed alone."""
+    chance, at, made = random.Random(plan.seed), 0.0, list[Asked]()
+    while True:
+        at += chance.expovariate(plan.rate)
+        if at >= plan.seconds:
+            return made
+        volume = chance.randrange(plan.volumes)
+        made.append(
+            Asked(
+                at, chance.randrange(fronts), f"{plan.seed:x}-{len(made):x}", chance.random() < plan.writes,
+                chance.randrange(plan.shards), volume, chance.choice(plan.units),
+                f"{chance.getrandbits(64):016x}",
+            )
+        )  # fmt: skip
+
+
+@dataclass(slots=True)
+class Result:
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, LONGEST, 3))  # us, served ones
+    statuses: Counter[int] = field(default_factory=Counter)  # 0: no answer, or a broken one
+    answers: Counter[str] = field(default_factory=Counter)  # by request
+    late_start: float = 0.0  # s at most that the generator itself was behind
+
+    def row(self) -> dict[str, float]:
+        took = self.latency
+        made = {f"p{p:g}_ms": took.get_value_at_percentile(p) / 1000 for p in (50, 90, 99, 99.9)}
+        made |= {"max_ms": took.get_max_value() / 1000, "asked": sum(self.statuses.values())}
+        return made | {
+            "served": self.statuses[200],
+            "refused": self.statuses[503],
+            "failed": self.statuses[502],
+        }
+
+
+class _Link(asyncio.Protocol):
+    def __init__(self, front: "_Front") -> None:
+        self.front = front
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.done: Callable[[int], None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def ask(self, data: bytes, done: Callable[[int], None]) -> None:
+        assert self.transport is not None
+        self.done = done
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.transport is not None:
+                self.transport.abort()
+
+    def on_message_complete(self) -> None:
+        status, keep = self.parser.get_status_code(), self.parser.should_keep_alive()
+        self.parser = httptools.HttpResponseParser(self)
+        done, self.done = self.done, None
+        if keep:
+            self.front.idle.append(self)
+        elif self.transport is not None:
+            self.transport.close()
+        if done is not None:
+            done(status)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self in self.front.idle:
+            self.front.idle.remove(self)
+        if self.done is not None:
+            done, self.done = self.done, None
+            done(0)
+
+
+class _Front:
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address, self.idle = address, deque[_Link]()
+
+    async def ask(self, data: bytes, done: Callable[[int], None]) -> None:
+        if self.idle:
+            return self.idle.pop().ask(data, done)
+        loop = asyncio.get_running_loop()
+        try:
+            _, link = await loop.create_connection(lambda: _Link(self), *self.address)
+        except OSError:
+            return done(0)
+        link.ask(data, done)
+
+
+def _words(plan: Plan, of: Asked) -> bytes:
+    body = b"x" * 200 if of.write else b""
+    name = plan.write if of.write else plan.read
+    head = (
+        f"{'PUT' if of.write else 'GET'} /{name}?block={of.block} HTTP/1.1\r\nHost: load\r\n"
+        f"X-Call-Id: {of.id}\r\nX-Plan: {plan.plan}\r\nX-Budget: {plan.budget:.3f}\r\n"
+        f"X-IO: volume={of.volume:016x},units={of.units},shard={of.shard},hosts=1\r\n"
+    )
+    return head.encode() + (b"Content-Length: %d\r\n" % len(body) if of.write else b"") + b"\r\n" + body
+
+
+async def run(plan: Plan, fronts: list[tuple[str, int]]) -> Result:
+    """Ask all that was drawn, and wait for the last answer (twice the budget at most)."""
+    made, of = Result(), [_Front(address) for address in fronts]
+    begin, tasks, left = time.monotonic(), set[asyncio.Task[None]](), set[str]()
+
+    def answered(asked: Asked, status: int) -> None:
+        made.statuses[status] += 1
+        made.answers[asked.id] += 1
+        left.discard(asked.id)
+        if status == 200:
+            took = time.monotonic() - begin - asked.at
+            made.latency.record_value(max(min(int(took * 1e6), LONGEST), 1))
+
+    for asked in draw(plan, len(fronts)):
+        wait = asked.at - (time.monotonic() - begin)
+        if wait > 0:
+            await asyncio.sleep(wait)
+        made.late_start = max(made.late_start, time.monotonic() - begin - asked.at)
+        left.add(asked.id)
+        call = of[asked.front].ask(_words(plan, asked), lambda status, a=asked: answered(a, status))  # type: ignore[misc]
+        task = asyncio.create_task(call)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    end = time.monotonic() + 2 * plan.budget
+    while left and time.monotonic() < end:
+        await asyncio.sleep(0.01)
+    made.statuses[0] += len(left)
+    return made
