--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch clean
+.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch bench-long-lists clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -54,5 +54,9 @@
 bench-lists bench-watch: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.watched_lists --keep
 
+# Lists of up to 20,000 servers loaded beside a live loop; a quarter of a minute.
+bench-long-lists: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.long_lists --keep
+
 clean:
 	rm -rf .venv $(DEV) $(FULL) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/long_lists.py
@@ -0,0 +1,148 @@
+"""How long lists are loaded beside a live loop, and what a change costs in its one turn: `make bench-long-lists`.
+
+The loop's stops are measured by a task that wakes each millisecond; the same task beside an idle thread gives
+what the machine itself adds. A reload changes one line; the whole change replaces every server."""
+
+import argparse
+import asyncio
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from umberlead.core.counters import Counters
+from umberlead.core.engine import Engine
+from umberlead.core.interface import Plan, RequestClass, Settings
+from umberlead.core.wheel import Wheel
+from umberlead.membership.damping import Damping
+from umberlead.membership.joining import apply
+from umberlead.membership.machine import Rules
+from umberlead.membership.service import ListService, Watched
+
+OUT = Path(__file__).parent.parent / "docs" / "measurements"
+SIZES = (200, 2000, 20_000)
+
+
+class Quiet:
+    def __getattr__(self, level: str) -> Any:
+        return lambda *_, **__: None
+
+
+class Addresses:
+    """The part of a pool that a change touches."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, Any] = {}
+        self.live: Any = None
+
+    def left(self, addresses: Any) -> None: ...
+
+
+def sheet(version: int, n: int, weight: str = "1", every: bool = False) -> str:
+    rows = [f"server n{k} address 10.{k >> 16}.{k >> 8 & 255}.{k & 255}:80 shard {k} weight" for k in range(n)]
+    lines = ["format 1", f"version {version}", "network 10.0.0.0/8"]
+    lines += [f"{row} {weight if every or k == n - 1 else '1'}" for k, row in enumerate(rows)]
+    return "\n".join([*lines, f"end {len(lines)}", ""])
+
+
+async def stops(done: asyncio.Event) -> list[float]:
+    """ms by which each wake came later than its millisecond."""
+    made = []
+    while not done.is_set():
+        before = time.perf_counter()
+        await asyncio.sleep(0.001)
+        made.append((time.perf_counter() - before) * 1000 - 1)
+    return sorted(made)
+
+
+async def beside(wait: Any) -> tuple[list[float], float]:
+    done, began = asyncio.Event(), time.perf_counter()
+    task = asyncio.create_task(stops(done))
+    await wait()
+    took = (time.perf_counter() - began) * 1000
+    done.set()
+    return await task, took
+
+
+async def measure(n: int, rounds: int) -> dict[str, float]:
+    loop = asyncio.get_running_loop()
+    clock = lambda: time.monotonic_ns() // 1000  # noqa: E731
+    wheel = Wheel(clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), 2000)
+    of = Settings((RequestClass("read", 300_000, 2_000_000),), (Plan("basic"),))
+    engine = Engine(of, 1, clock, wheel, loop.call_soon, Counters(), print)
+    pool, turns = Addresses(), list[float]()
+
+    def take(change: Any) -> None:
+        began = time.perf_counter()
+        apply(change, engine, pool)  # type: ignore[arg-type]
+        engine._decide()
+        turns.append((time.perf_counter() - began) * 1000)
+
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "list"
+        path.write_text(sheet(1, n))
+        rules = Rules(1.0, 10**9, Damping(100_000, 7000.0, 1000.0))
+        made = ListService(
+            Watched(path, None, 0.005, 0.25, rules), 0, loop, clock, Counters(), Quiet(), take
+        )  # fmt: skip
+        began = time.perf_counter()
+        made.begin()
+        first = (time.perf_counter() - began) * 1000
+        made.open()
+        late, waits = list[float](), list[float]()
+        turns.clear()
+        for k in range(rounds):
+            text, generation = sheet(2 + k, n, str(2 + k % 2)), made.machine.generation
+
+            async def changed(text: str = text, generation: int = generation) -> None:
+                path.with_name("next").write_text(text)
+                os.replace(path.with_name("next"), path)
+                while made.machine.generation == generation:
+                    await asyncio.sleep(0.002)
+
+            got, took = await beside(changed)
+            late += got
+            waits.append(took)
+        one = max(turns)
+        turns.clear()
+        generation = made.machine.generation
+        path.write_text(sheet(100, n, "7", every=True))
+        while made.machine.generation == generation:
+            await asyncio.sleep(0.002)
+        whole = max(turns)
+        idle, _ = await beside(lambda: asyncio.sleep(1.0))
+        made.close()
+    late.sort()
+    return {
+        "first": first, "reload": sorted(waits)[len(waits) // 2], "p99": late[len(late) * 99 // 100],
+        "max": late[-1], "idle": idle[-1], "one": one, "whole": whole,
+    }  # fmt: skip
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--keep", action="store_true")
+    words = parser.parse_args()
+    rows = []
+    for n in SIZES:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            of = runner.run(measure(n, words.rounds))
+        rows.append(f"| {n} | " + " | ".join(f"{of[k]:.1f}" for k in of) + " |")
+    text = "# Long lists beside a live loop\n\n"
+    text += f"`make bench-long-lists`; {words.rounds} reloads with one line changed, ms.\n\n"
+    text += "| servers | first load | reload to force, median | stop p99 | stop max | stop max, idle |"
+    text += " turn of one change | turn that changes all |\n| --- |" + " --- |" * 7 + "\n"
+    text += "\n".join(rows) + "\n"
+    print(text)
+    if words.keep:
+        (OUT / "long-lists.md").write_text(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/watched_lists.py
+++ b/benchmarks/watched_lists.py
@@ -139,6 +139,7 @@
 
     async def run(self, seconds: float) -> None:
         begin = time.monotonic()
+        self.sound.clear()  # the list that the fronts started with was no change
         victims = ["s00", "s11"]
         turn = 1.0
         while (now := time.monotonic() - begin) < seconds:
