--- a/benchmarks/long_lists.py
+++ b/benchmarks/long_lists.py
@@ -1,4 +1,5 @@
-"""How long lists are loaded beside a live loop, and what a change costs in its one turn: `make bench-long-lists`.
+"""How long lists are loaded beside a live loop, and what a change costs in its one turn: `make
+bench-long-lists`.
 
 The loop's stops are measured by a task that wakes each millisecond; the same task beside an idle thread gives
 what the machine itself adds. A reload changes one line; the whole change replaces every server."""
@@ -43,7 +44,9 @@
 
 
 def sheet(version: int, n: int, weight: str = "1", every: bool = False) -> str:
-    rows = [f"server n{k} address 10.{k >> 16}.{k >> 8 & 255}.{k & 255}:80 shard {k} weight" for k in range(n)]
+    rows = [
+        f"server n{k} address 10.{k >> 16}.{k >> 8 & 255}.{k & 255}:80 shard {k} weight" for k in range(n)
+    ]
     lines = ["format 1", f"version {version}", "network 10.0.0.0/8"]
     lines += [f"{row} {weight if every or k == n - 1 else '1'}" for k, row in enumerate(rows)]
     return "\n".join([*lines, f"end {len(lines)}", ""])
--- a/umberlead/commands/__init__.py
+++ b/umberlead/commands/__init__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from umberlead.commands.expect import expect
 from umberlead.commands.lists import lists
 from umberlead.commands.play import demo, standin
 
@@ -30,5 +31,6 @@
 
 
 command.add_command(lists, "list")
+command.add_command(expect)
 command.add_command(standin)
 command.add_command(demo)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -139,6 +139,7 @@
         self.tickets: Slots[Ticket] = Slots()
         self.names_most = 20_000
         self.carrier: Carrier | None = None
+        self.observer: Callable[[int, list[api.Action]], None] | None = None  # of each decision
         self._events: list[api.Event] = []
         self._number = 0
         self._names, self._older = set[bytes](), set[bytes]()  # of two spans, so that old ones go
@@ -255,6 +256,8 @@
             self.counters.add("module_errors")
             self.log("module_error", trace=traceback.format_exc())
             return
+        if self.observer is not None:
+            self.observer(now, acts)
         for act in acts:
             if isinstance(act, api.SetTimer):
                 self.wheel.at(now + act.delay, self._post, api.Wake(act.label))
--- /dev/null
+++ b/umberlead/expect/language.py
@@ -0,0 +1,363 @@
+"""The suite's language: one statement a line, on the lists' parser library and with their closing line.
+
+`foreach x in a b 0..3 : STATEMENT` stands for one STATEMENT a value, with `{x}` in it replaced; several may
+be nested. What stands behind `scenario` belongs to it, up to the next one."""
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+from lark import Lark, Token, Transformer, Tree
+from lark.exceptions import UnexpectedInput, VisitError
+
+from umberlead.expect.model import Collection, Expectation, Happening, Load, Scenario, Selector, Suite
+from umberlead.membership.grammar import WORDS, Bad, fault_of, keywords_of
+from umberlead.membership.model import Place, Problem
+
+FORMAT = 1
+LINES_MOST = 20_000  # statements of a suite, foreach written out: a suite that explodes is an error
+DEPTH_MOST = 3
+
+GRAMMAR = r"""
+start: statement?
+?statement: format | config | list | group | collection | scenario | load | at | expect | end
+format: "format" INT
+config: "config" PATH
+list: "list" PATH
+group: "group" NAME NAME+
+collection: "collection" NAME "plan" NAME "shards" NUMBERS ["volumes" INT] ["hosts" INT]
+scenario: "scenario" NAME ["seed" INT]
+load: "load" NAME "class" NAME "rate" DECIMAL "from" TIME "to" TIME ["units" DECIMAL] [NEW]
+at: "at" TIME happening
+?happening: state | slow | outcome | newlist
+state: (DRAIN | BACK | LEAVE | OUT | IN | COLD) NAME+
+slow: "slow" DECIMAL NAME+
+outcome: "outcome" RESULT "part" PERCENT NAME+
+newlist: "list" PATH
+expect: "expect" rule
+?rule: routed | attempts | once | within | ends | prompt | share | may
+routed: selector (ONLY | NEVER) NAME+ ["after" TIME]
+attempts: selector "attempts" "at-most" INT
+once: selector "sent" "once"
+within: selector "answered" "within" TIME
+ends: selector (SERVED | REFUSED | ANSWERED_ONCE)
+prompt: selector "refused" "within" TIME
+share: "share" selector "at" servers "is" PERCENT "within" PERCENT
+may: "may" selector (ONLY NAME+ | NEVER NAME+ | "attempts" "at-most" INT | "sent" "once")
+servers: NAME+
+selector: part*
+?part: class | plan | of | shard | new | since | until
+class: "class" NAME
+plan: "plan" NAME
+of: "collection" NAME
+shard: "shard" INT
+new: NEW
+since: "from" TIME
+until: "to" TIME
+end: "end" INT
+
+ONLY: "only"
+NEVER: "never"
+NEW: "new"
+SERVED: "served"
+REFUSED: "refused"
+ANSWERED_ONCE: "answered-once"
+DRAIN: "drain"
+BACK: "back"
+LEAVE: "leave"
+OUT: "out"
+IN: "in"
+COLD: "cold"
+RESULT: "error" | "full" | "timeout" | "no-link" | "reset" | "astray"
+INT: /[0-9]{1,9}(?![^\s#])/
+DECIMAL: /[0-9]{1,9}(\.[0-9]{1,6})?(?![^\s#])/
+PERCENT: /[0-9]{1,3}(\.[0-9]{1,4})?%(?![^\s#])/
+TIME: /[0-9]{1,7}(\.[0-9]{1,3})?(ms|s)(?![^\s#])/
+NUMBERS: /[0-9]{1,7}(\.\.[0-9]{1,7})?(,[0-9]{1,7}(\.\.[0-9]{1,7})?)*(?![^\s#])/
+NAME: /[A-Za-z0-9@][A-Za-z0-9@._-]{0,127}(?![^\s#])/
+PATH: /[^\s#]{1,1024}/
+COMMENT: /#[^\n]*/
+%ignore COMMENT
+%ignore /[ \t]+/
+"""
+WORDS |= {
+    "DECIMAL": "a number", "PERCENT": "a share such as 25%", "TIME": "a time such as 300ms or 2.5s",
+    "NUMBERS": "shards such as 0..3,7", "RESULT": "an outcome",
+}  # fmt: skip
+FOREACH = re.compile(r"\s*foreach\s+([a-z][a-z0-9_]*)\s+in\s+([^:#]+?)\s*:\s*(.*)")
+RANGE = re.compile(r"([0-9]{1,7})\.\.([0-9]{1,7})")
+
+
+def micros(text: str) -> int:
+    number, unit = re.fullmatch(r"([0-9.]+)(ms|s)", text).groups()  # type: ignore[union-attr]
+    return round(float(number) * (1000 if unit == "ms" else 1_000_000))
+
+
+def part_of(text: str) -> float:
+    return float(text.rstrip("%")) / 100
+
+
+def numbers(text: str) -> tuple[int, ...]:
+    made: dict[int, None] = {}
+    for piece in text.split(","):
+        low, _, high = piece.partition("..")
+        if int(high or low) - int(low) > LINES_MOST:
+            raise ValueError(f"{piece} is too long a range")
+        made |= dict.fromkeys(range(int(low), int(high or low) + 1))
+    return tuple(made)
+
+
+class _Read(Transformer[Token, Any]):
+    def start(self, got: list[Any]) -> Any:
+        return got[0] if got else None
+
+    def selector(self, got: list[Any]) -> Selector:
+        found: dict[str, Any] = {}
+        for key, value, token in got:
+            if key in found:
+                raise Bad(token, f"{key} is given twice")
+            found[key] = value
+        return Selector(**found)
+
+    def _one(key: str, of: Any = str) -> Any:  # type: ignore[misc]
+        def read(self: Any, got: list[Token]) -> tuple[str, Any, Token]:
+            return key, of(got[0]), got[0]
+
+        return read
+
+    plan = _one("plan")
+    of = _one("collection")
+    shard = _one("shard", int)
+    new = _one("new", lambda _: True)
+    since = _one("begin", micros)
+    until = _one("end", micros)
+
+    def servers(self, got: list[Token]) -> list[Token]:
+        return got
+
+
+setattr(_Read, "class", _Read._one("class_name"))  # a keyword here, a word of the language there
+_parser = Lark(GRAMMAR, parser="lalr", lexer="contextual", maybe_placeholders=True)
+_read = _Read()
+_keywords = keywords_of(_parser)
+
+
+def _parsed(text: str) -> Any:
+    """A line's tree, None where it is empty; ("!", column, why, near) where it can't be read."""
+    try:
+        return _read.transform(_parser.parse(text))
+    except UnexpectedInput as fault:
+        return ("!", *fault_of(text, fault, _keywords))
+    except VisitError as fault:
+        if isinstance(fault.orig_exc, Bad):
+            return "!", fault.orig_exc.column, fault.orig_exc.why, ""
+        raise
+
+
+def spread(text: str, depth: int = 0) -> Iterator[str]:
+    """The lines that a line with `foreach` stands for; ValueError where it asks for too much."""
+    found = FOREACH.fullmatch(text)
+    if found is None:
+        yield text
+        return
+    if depth >= DEPTH_MOST:
+        raise ValueError(f"foreach stands more than {DEPTH_MOST} deep")
+    name, values, rest = found.groups()
+    made: list[str] = []
+    for value in values.split():
+        match = RANGE.fullmatch(value)
+        if match is None:
+            made.append(value)
+            continue
+        low, high = int(match[1]), int(match[2])
+        if high - low > LINES_MOST:
+            raise ValueError(f"{value} stands for more than {LINES_MOST} values")
+        made += map(str, range(low, high + 1))
+    for value in made:
+        yield from spread(rest.replace("{" + name + "}", value), depth + 1)
+
+
+class _Builder:
+    """Statements to a suite, names looked up as they come."""
+
+    def __init__(self, file: str) -> None:
+        self.suite, self.problems = Suite(file), list[Problem]()
+        self.count = 0
+        self.closed = False
+
+    def bad(self, place: Place, why: str, near: str = "", code: str = "E101") -> None:
+        self.problems.append(Problem(code, place, why, near))
+
+    @property
+    def scenario(self) -> Scenario | None:
+        return self.suite.scenarios[-1] if self.suite.scenarios else None
+
+    def take(self, got: Tree[Token], place: Place, text: str) -> None:
+        kind = str(got.data)
+        if self.count == 1 and kind != "format":
+            self.bad(place, f"the first statement must be 'format {FORMAT}'")
+        words = got.children
+        if kind in ("load", "at", "expect") and self.scenario is None:
+            self.bad(place, f"{kind} stands before any scenario")
+        elif kind in ("config", "list", "collection", "group") and self.scenario is not None:
+            self.bad(place, f"{kind} belongs before the first scenario")
+        else:
+            try:
+                getattr(self, f"on_{kind}")(words, place, text)
+            except ValueError as fault:
+                self.bad(place, str(fault))
+
+    def on_format(self, words: list[Any], place: Place, text: str) -> None:
+        if int(words[0]) != FORMAT:
+            raise ValueError(f"format {words[0]} is unknown; this program reads format {FORMAT}")
+
+    def on_config(self, words: list[Any], place: Place, text: str) -> None:
+        self.suite.config = (str(words[0]), place)
+
+    def on_list(self, words: list[Any], place: Place, text: str) -> None:
+        self.suite.listed = (str(words[0]), place)
+
+    def on_group(self, words: list[Any], place: Place, text: str) -> None:
+        name = f"@{str(words[0]).lstrip('@')}"
+        if name in self.suite.groups:
+            raise ValueError(f"group {name} is given twice")
+        self.suite.groups[name] = self.names(words[1:])
+
+    def names(self, words: list[Any]) -> tuple[str, ...]:
+        made: dict[str, None] = {}
+        for word in map(str, words):
+            if word.startswith("@"):
+                if word not in self.suite.groups:
+                    raise ValueError(f"there is no group {word}")
+                made |= dict.fromkeys(self.suite.groups[word])
+            else:
+                made[word] = None
+        return tuple(made)
+
+    def on_collection(self, words: list[Any], place: Place, text: str) -> None:
+        name, plan, shards, volumes, hosts = words
+        if str(name) in self.suite.collections:
+            raise ValueError(f"collection {name} is given twice")
+        made = Collection(str(name), str(plan), numbers(shards), int(volumes or 1), int(hosts or 1))
+        if not made.volumes or not made.hosts:
+            raise ValueError("volumes and hosts must be at least 1")
+        self.suite.collections[made.name] = made
+
+    def on_scenario(self, words: list[Any], place: Place, text: str) -> None:
+        name = str(words[0])
+        if any(s.name == name for s in self.suite.scenarios):
+            raise ValueError(f"scenario {name} is given twice")
+        self.suite.scenarios.append(Scenario(name, place, int(words[1] or 1)))
+
+    def on_load(self, words: list[Any], place: Place, text: str) -> None:
+        name, cls, rate, begin, end, units, new = words
+        if str(name) not in self.suite.collections:
+            raise ValueError(f"there is no collection {name}")
+        made = Load(
+            str(name),
+            str(cls),
+            float(rate),
+            micros(begin),
+            micros(end),
+            float(units or 1),
+            new is not None,
+            place,
+        )
+        if made.end <= made.begin or not made.rate:
+            raise ValueError("the load is empty")
+        if made.rate * (made.end - made.begin) / 1e6 > 1e6:
+            raise ValueError("the load has more than a million requests")
+        assert self.scenario is not None
+        self.scenario.loads.append(made)
+
+    def on_at(self, words: list[Any], place: Place, text: str) -> None:
+        when, tree = micros(words[0]), words[1]
+        assert self.scenario is not None
+        kind, rest = str(tree.data), tree.children
+        if kind == "newlist":
+            made = Happening(when, "list", (), 0.0, str(rest[0]), place)
+        elif kind == "slow":
+            made = Happening(when, "slow", self.names(rest[1:]), float(rest[0]), "", place)
+        elif kind == "outcome":
+            made = Happening(when, "outcome", self.names(rest[2:]), part_of(rest[1]), str(rest[0]), place)
+        else:
+            made = Happening(when, str(rest[0]), self.names(rest[1:]), 0.0, "", place)
+        self.scenario.happenings.append(made)
+
+    def on_expect(self, words: list[Any], place: Place, text: str) -> None:
+        tree = words[0]
+        kind, of = str(tree.data), tree.children
+        assert self.scenario is not None
+
+        def add(rule: str, selector: Selector, **more: Any) -> None:
+            assert self.scenario is not None
+            made = Expectation(rule, selector, text=text.strip(), place=place, **more)
+            self.scenario.expectations.append(made)
+
+        if kind == "routed":
+            after = micros(of[-1]) if of[-1] is not None else 0
+            add(str(of[1]), of[0], servers=self.names(of[2:-1]), after=after)
+        elif kind == "attempts":
+            add("attempts", of[0], limit=int(of[1]))
+        elif kind == "once":
+            add("once", of[0])
+        elif kind == "within":
+            add("within", of[0], limit=micros(of[1]))
+        elif kind == "prompt":
+            add("prompt", of[0], limit=micros(of[1]))
+        elif kind == "ends":
+            add(str(of[1]), of[0])
+        elif kind == "share":
+            add("share", of[0], servers=self.names(of[1]), limit=part_of(of[2]), tolerance=part_of(of[3]))
+        elif len(of) == 1:
+            add("may-once", of[0])
+        elif of[1].type == "INT":
+            add("may-attempts", of[0], limit=int(of[1]))
+        else:
+            add(f"may-{of[1]}", of[0], servers=self.names(of[2:]))
+
+    def on_end(self, words: list[Any], place: Place, text: str) -> None:
+        self.closed = True
+        if int(words[0]) != self.count - 1:
+            raise ValueError(f"the file ends after {words[0]} statements, but has {self.count - 1}")
+
+
+def parse(text: str, file: str) -> tuple[Suite, list[Problem]]:
+    """A suite, and all of its problems. Statements count as written, foreach as one."""
+    of, total = _Builder(file), 0
+    lines = text.split("\n")
+    if lines.pop():
+        of.bad(
+            Place(file, len(lines) + 1), "the last line has no line end: perhaps half written", code="E103"
+        )
+    for number, row in enumerate(lines, 1):
+        plain = row.split("#")[0]
+        if not plain.strip():
+            continue
+        of.count += 1
+        place = Place(file, number, len(row) - len(row.lstrip()) + 1)
+        if of.closed:
+            of.bad(place, "something stands behind the closing line")
+            continue
+        try:
+            for line in spread(plain):
+                total += 1
+                if total > LINES_MOST:
+                    of.bad(place, f"the suite has more than {LINES_MOST} statements")
+                    return of.suite, of.problems
+                got = _parsed(line)
+                if isinstance(got, tuple):
+                    where = f" in {line.strip()!r}" if line != plain else ""
+                    of.bad(Place(file, number, got[1]), got[2] + where, got[3])
+                    break
+                if str(got.data) == "scenario":
+                    of.on_scenario(got.children, place, line)
+                else:
+                    of.take(got, place, line)
+        except ValueError as fault:
+            of.bad(place, str(fault))
+    if not of.closed:
+        of.bad(
+            Place(file, len(lines) + 1), "there is no closing line 'end N': perhaps half written", code="E102"
+        )
+    return of.suite, of.problems
--- /dev/null
+++ b/umberlead/expect/model.py
@@ -0,0 +1,147 @@
+"""What a suite says, and what became of it: plain records."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from umberlead.membership.model import Place
+
+SECOND = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Collection:
+    """Requests of one volume or of a few: `volumes` are spread over the same plan and shards."""
+
+    name: str
+    plan: str
+    shards: tuple[int, ...]
+    volumes: int = 1
+    hosts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    collection: str
+    class_name: str
+    rate: float  # requests a second
+    begin: int  # us
+    end: int
+    units: float = 1.0
+    new: bool = False  # writes of new objects, which any server may take
+    place: Place = field(default=Place(""), compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Happening:
+    """What befalls servers at a time. `what` is one of: drain, back, leave, out, in, cold, slow, outcome,
+    list."""
+
+    at: int
+    what: str
+    servers: tuple[str, ...] = ()
+    value: float = 0.0
+    word: str = ""
+    place: Place = field(default=Place(""), compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Selector:
+    """Which requests: all that fit everything that is given."""
+
+    class_name: str = ""
+    plan: str = ""
+    collection: str = ""
+    shard: int | None = None
+    new: bool | None = None
+    begin: int = 0
+    end: int = 1 << 62
+
+    def words(self) -> str:
+        made = [f"{k} {v}" for k, v in (("class", self.class_name), ("plan", self.plan)) if v]
+        made += [f"collection {self.collection}"] if self.collection else []
+        made += [f"shard {self.shard}"] if self.shard is not None else []
+        made += ["new"] if self.new else []
+        return " ".join(made) or "all"
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """`rule`: only, never, attempts, once, within, served, refused, prompt, share, or reach's: may-only,
+    may-never, may-attempts, may-once."""
+
+    rule: str
+    of: Selector
+    servers: tuple[str, ...] = ()
+    limit: float = 0.0  # of attempts, of us, or of a share
+    tolerance: float = 0.0
+    after: int = 0
+    text: str = ""
+    place: Place = field(default=Place(""), compare=False)
+
+
+@dataclass(slots=True)
+class Scenario:
+    name: str
+    place: Place
+    seed: int = 1
+    loads: list[Load] = field(default_factory=list)
+    happenings: list[Happening] = field(default_factory=list)
+    expectations: list[Expectation] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Suite:
+    file: str
+    config: tuple[str, Place] | None = None
+    listed: tuple[str, Place] | None = None
+    collections: dict[str, Collection] = field(default_factory=dict)
+    groups: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    scenarios: list[Scenario] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One event in a request's life."""
+
+    at: int
+    kind: str  # taken, sent, ended, answered
+    server: str = ""
+    word: str = ""  # an attempt's result, or the answer's kind
+    note: str = ""  # what the module saw
+
+
+@dataclass(slots=True)
+class Life:
+    """A simulated request from its coming to its answer."""
+
+    id: str
+    at: int
+    collection: str
+    class_name: str
+    plan: str
+    shard: int
+    units: float
+    new: bool
+    steps: list[Step] = field(default_factory=list)
+
+    def sent(self) -> list[Step]:
+        return [s for s in self.steps if s.kind == "sent"]
+
+    def answers(self) -> list[Step]:
+        return [s for s in self.steps if s.kind == "answered"]
+
+
+class Outcome(Enum):
+    HELD = "held"
+    FAILED = "failed"
+    ERROR = "error"  # the suite asks for what can't be told
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    expectation: Expectation
+    scenario: str
+    outcome: Outcome
+    why: str = ""
+    witness: Life | None = None
+    requests: int = 0  # that it was judged by
--- /dev/null
+++ b/umberlead/expect/reach.py
@@ -0,0 +1,132 @@
+"""Every sequence of outcomes that one request of a shape can meet, on the serving engine, to its last
+attempt.
+
+Covered: one request of each class, plan and shard that fits, alone on idle servers of the list in force,
+with each attempt ending in each of seven ways. Not covered: what only load brings about (bounds, worth,
+reserves), two requests at once, and lists that change under an attempt. A branch is replayed from its start,
+so that no state of the engine has to be copied."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from umberlead.core.interface import Result, Settings
+from umberlead.expect.model import Collection, Expectation, Life, Load, Outcome, Selector, Verdict
+from umberlead.expect.verdict import sent_again
+from umberlead.expect.world import QUIET, START, Modelled, World
+from umberlead.membership.model import Listing
+
+ENDS = (Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT, Result.NO_LINK, Result.RESET, Result.MOOT)
+BRANCHES_MOST = 5000  # of one shape: with more the walk is cut off, and says so
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    class_name: str
+    plan: str
+    shard: int  # -1: a new object
+
+    def words(self) -> str:
+        return f"{self.class_name} on {self.plan}, " + ("new" if self.shard < 0 else f"shard {self.shard}")
+
+
+class TooMany(ValueError):
+    """The walk was cut off."""
+
+
+class _Scripted(World):
+    """Attempts end as a list says; past its end they wait."""
+
+    def __init__(self, settings: Settings, listing: Listing, ends: tuple[Result, ...]) -> None:
+        super().__init__(settings, listing, 1, explain=True)
+        self.ends, self.used, self.asked = ends, 0, 0
+
+    def _drawn(self, model: Modelled) -> Result:
+        self.asked += 1
+        if self.used < len(self.ends):
+            self.used += 1
+            return self.ends[self.used - 1]
+        return Result.OK
+
+
+def walk(shape: Shape, settings: Settings, listing: Listing, units: float = 1.0) -> Iterator[Life]:
+    """The request's life under each sequence of outcomes."""
+    collection = Collection("reach", shape.plan, (max(shape.shard, 0),))
+    load = Load("reach", shape.class_name, 1.0, 0, 1, units, shape.shard < 0)
+    stack: list[tuple[Result, ...]] = [(end,) for end in ENDS]
+    seen = 0
+    while stack:
+        ends = stack.pop()
+        seen += 1
+        if seen > BRANCHES_MOST:
+            raise TooMany(f"{shape.words()}: more than {BRANCHES_MOST} sequences of outcomes")
+        world = _Scripted(settings, listing, ends)
+        life = world.take(collection, "reach.0", load, shape.shard, 0, "0" * 16)
+        tickets = world.engine.tickets
+        world.loop.run(START + QUIET, lambda: bool(life.answers()) and not len(tickets))  # noqa: B023
+        yield life
+        if world.asked > len(ends):  # it was sent once more than the sequence says: each way that can end
+            stack += [(*ends, end) for end in ENDS]
+
+
+def shapes(
+    of: Selector, settings: Settings, listing: Listing, collections: dict[str, Collection]
+) -> list[Shape]:
+    """All shapes that fit: each class and plan, and each shard of the list or of the collection named."""
+    classes = [c.name for c in settings.classes if of.class_name in ("", c.name)]
+    plans = [p.name for p in settings.plans if of.plan in ("", p.name)]
+    shards = sorted({s.shard for s in listing.servers.values()})
+    if of.collection:
+        collection = collections[of.collection]
+        plans = [p for p in plans if p == collection.plan]
+        shards = [s for s in shards if s in collection.shards]
+    if of.shard is not None:
+        shards = [of.shard]
+    if of.new:
+        shards = [-1]
+    return [Shape(c, p, s) for c in classes for p in plans for s in shards]
+
+
+def _fault(of: Expectation, life: Life) -> str:
+    if of.rule in ("may-only", "may-never"):
+        for step in life.sent():
+            if (step.server in of.servers) == (of.rule == "may-never"):
+                return f"it can be sent to {step.server}"
+    elif of.rule == "may-attempts":
+        n = len(life.sent())
+        return f"it can be sent {n} times" if n > of.limit else ""
+    return ""
+
+
+def proved(
+    of: Expectation,
+    settings: Settings,
+    listing: Listing,
+    collections: dict[str, Collection],
+    scenario: str,
+    walked: dict[Shape, list[Life]],
+) -> Verdict:
+    """Holds for every sequence of every shape that fits, or fails with the shortest one found. `walked` keeps
+    what was walked already."""
+    unsafe = {c.name: c.effect.value != "safe" for c in settings.classes}
+    fitting, count = shapes(of.of, settings, listing, collections), 0
+    if not fitting:
+        return Verdict(of, scenario, Outcome.ERROR, "no shape of request fits the expectation")
+    worst: tuple[int, Life, str] | None = None
+    for shape in fitting:
+        try:
+            if shape not in walked:
+                walked[shape] = list(walk(shape, settings, listing))
+            for life in walked[shape]:
+                count += 1
+                why = _fault(of, life)
+                if of.rule == "may-once" and (step := sent_again(life, unsafe[shape.class_name])) is not None:
+                    why = f"it can be sent to {step.server} after an attempt that may have run"
+                if why and (worst is None or len(life.steps) < worst[0]):
+                    ends = ", ".join(s.word for s in life.steps if s.kind == "ended")
+                    worst = len(life.steps), life, f"{shape.words()}: {why} when attempts end in: {ends}"
+        except TooMany as fault:
+            return Verdict(of, scenario, Outcome.ERROR, str(fault), None, count)
+    if worst is not None:
+        return Verdict(of, scenario, Outcome.FAILED, worst[2], worst[1], count)
+    why = f"all {count} sequences of outcomes of {len(fitting)} shapes"
+    return Verdict(of, scenario, Outcome.HELD, why, None, count)
--- /dev/null
+++ b/umberlead/expect/running.py
@@ -0,0 +1,125 @@
+"""Plays suites: each scenario twice from its seed, scenarios side by side in processes."""
+
+import time
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from umberlead.expect import reach
+from umberlead.expect.model import Expectation, Life, Outcome, Scenario, Verdict
+from umberlead.expect.suites import Ready, load
+from umberlead.expect.verdict import judged
+from umberlead.expect.world import World
+
+
+@dataclass(slots=True)
+class Played:
+    scenario: str
+    verdicts: list[Verdict]
+    requests: int
+    took: float
+    touched: set[tuple[str, str]] = field(default_factory=set)  # kind and name of what requests met
+
+
+def lives_of(ready: Ready, scenario: Scenario, explain: bool = False) -> tuple[list[Life], list[str]]:
+    world = World(ready.settings, ready.listing, scenario.seed, explain)
+    return world.play(scenario, ready.suite.collections, ready.lists), world.faults
+
+
+def _track(lives: Iterable[Life]) -> list[tuple[object, ...]]:
+    return [
+        (life.id, life.at, life.shard, [(s.at, s.kind, s.server, s.word) for s in life.steps])
+        for life in lives
+    ]
+
+
+def play(ready: Ready, scenario: Scenario) -> Played:
+    """The verdicts of a scenario. Explained notes are gathered only where something failed."""
+    began = time.perf_counter()
+    lives, faults = lives_of(ready, scenario)
+    verdicts = list[Verdict]()
+    again, _ = lives_of(ready, scenario)
+    if faults:
+        of = scenario.expectations[0]
+        verdicts.append(Verdict(of, scenario.name, Outcome.ERROR, f"the module raised: {faults[0][-400:]}"))
+    elif _track(lives) != _track(again):
+        of = scenario.expectations[0]
+        verdicts.append(Verdict(of, scenario.name, Outcome.ERROR, "two plays of one seed differ"))
+    else:
+        walked: dict[reach.Shape, list[Life]] = {}
+        for of in scenario.expectations:
+            verdicts.append(_judge(of, ready, scenario, lives, walked))
+    if any(v.outcome is Outcome.FAILED and not v.expectation.rule.startswith("may") for v in verdicts):
+        explained = {life.id: life for life in lives_of(ready, scenario, explain=True)[0]}
+        verdicts = [
+            replace(v, witness=explained.get(v.witness.id, v.witness)) if v.witness is not None else v
+            for v in verdicts
+        ]
+    touched = {("class", life.class_name) for life in lives} | {("plan", life.plan) for life in lives}
+    touched |= {("server", s.server) for life in lives for s in life.sent()}
+    touched |= {("outcome", s.word) for life in lives for s in life.steps if s.kind == "ended"}
+    touched |= {("answer", s.word) for life in lives for s in life.answers()}
+    touched |= {("rule", of.rule) for of in scenario.expectations}
+    return Played(scenario.name, verdicts, len(lives), time.perf_counter() - began, touched)
+
+
+def _judge(
+    of: Expectation,
+    ready: Ready,
+    scenario: Scenario,
+    lives: list[Life],
+    walked: dict[reach.Shape, list[Life]],
+) -> Verdict:
+    if of.rule.startswith("may-"):
+        collections = ready.suite.collections
+        return reach.proved(of, ready.settings, ready.listing, collections, scenario.name, walked)
+    return judged(of, lives, ready.settings, scenario.name)
+
+
+def _child(call: tuple[str, str | None, str | None, str]) -> Played:
+    path, conf, listed, name = call
+    ready = load(Path(path), Path(conf) if conf else None, Path(listed) if listed else None)
+    return play(ready, next(s for s in ready.suite.scenarios if s.name == name))
+
+
+def run(
+    path: Path, conf: Path | None, listed: Path | None, only: str = "", workers: int = 0
+) -> tuple[Ready, list[Played]]:
+    """All scenarios of a suite, or `only` that one. `Unreadable` where it can't be used."""
+    ready = load(path, conf, listed)
+    chosen = [s for s in ready.suite.scenarios if only in ("", s.name)]
+    if workers == 1 or len(chosen) == 1:
+        return ready, [play(ready, s) for s in chosen]
+    calls = [
+        (str(path), str(conf) if conf else None, str(listed) if listed else None, s.name) for s in chosen
+    ]
+    with ProcessPoolExecutor(workers or None) as pool:
+        return ready, list(pool.map(_child, calls))
+
+
+def untouched(ready: Ready, played: list[Played]) -> dict[str, list[str]]:
+    """What no scenario's requests met, by kind."""
+    met = {pair for of in played for pair in of.touched}
+    known = {
+        "server": sorted(ready.listing.servers),
+        "class": [c.name for c in ready.settings.classes],
+        "plan": [p.name for p in ready.settings.plans],
+        "outcome": ["ok", "error", "full", "timeout", "no_link", "reset", "astray"],
+        "answer": ["served", "refused", "failed"],
+        "rule": [
+            "only",
+            "never",
+            "attempts",
+            "once",
+            "within",
+            "served",
+            "refused",
+            "answered-once",
+            "prompt",
+        ]
+        + ["share", "may-only", "may-never", "may-attempts", "may-once"],
+    }
+    return {
+        kind: left for kind, names in known.items() if (left := [n for n in names if (kind, n) not in met])
+    }
--- /dev/null
+++ b/umberlead/expect/suites.py
@@ -0,0 +1,111 @@
+"""Suites from files: the suite itself, its configuration, and every list that it names, all checked
+together."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from umberlead import config
+from umberlead.core.interface import Settings
+from umberlead.expect.language import parse
+from umberlead.expect.model import Suite
+from umberlead.expect.verdict import contradictions
+from umberlead.membership.loading import Loader
+from umberlead.membership.model import Listing, Place, Problem
+from umberlead.membership.resolve import Resolver
+
+
+class Unreadable(ValueError):
+    """The suite, its configuration or a list can't be used; `problems` tell where."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+@dataclass(slots=True)
+class Ready:
+    """A suite with all that it needs."""
+
+    suite: Suite
+    settings: Settings
+    listing: Listing
+    lists: dict[str, Listing] = field(default_factory=dict)
+
+
+def _list(path: Path, problems: list[Problem]) -> Listing | None:
+    loader = Loader(path, 0, Resolver(lambda host: (host,)))  # a name stands for itself: nothing is sent
+    verdict = loader.load(None).verdict
+    problems += verdict.problems
+    return verdict.listing
+
+
+def load(path: Path, conf: Path | None = None, listed: Path | None = None) -> Ready:
+    """`conf` and `listed` go before what the suite names. `Unreadable` with all that is wrong."""
+    try:
+        suite, problems = parse(path.read_text(), path.name)
+    except (OSError, UnicodeDecodeError) as fault:
+        raise Unreadable([Problem("E100", Place(str(path)), str(fault))]) from None
+    settings, listing, lists = None, None, dict[str, Listing]()
+    if conf is None and suite.config is not None:
+        conf = path.parent / suite.config[0]
+    if conf is None:
+        problems.append(
+            Problem("E110", Place(path.name), "neither the suite nor the call names a configuration")
+        )
+    else:
+        try:
+            settings = config.operator(str(conf)).settings
+        except config.ConfigError as fault:
+            problems.append(Problem("E110", Place(str(conf)), str(fault)))
+    if listed is None and suite.listed is not None:
+        listed = path.parent / suite.listed[0]
+    if listed is None:
+        problems.append(Problem("E111", Place(path.name), "neither the suite nor the call names a list"))
+    else:
+        listing = _list(listed, problems)
+    for scenario in suite.scenarios:
+        for happening in scenario.happenings:
+            if happening.what == "list" and happening.word not in lists:
+                found = _list(path.parent / happening.word, problems)
+                if found is not None:
+                    lists[happening.word] = found
+    if settings is not None and listing is not None:
+        problems += _unknown(suite, settings, listing, lists)
+    if problems or settings is None or listing is None:
+        raise Unreadable(problems)
+    return Ready(suite, settings, listing, lists)
+
+
+def _unknown(suite: Suite, settings: Settings, listing: Listing, lists: dict[str, Listing]) -> list[Problem]:
+    """Names that stand nowhere, expectations that contradict each other, and scenarios that expect
+    nothing."""
+    found = list[Problem]()
+    servers = {n for of in (listing, *lists.values()) for n in of.servers}
+    classes, plans = {c.name for c in settings.classes}, {p.name for p in settings.plans}
+
+    def check(place: Place, what: str, name: str, known: set[str]) -> None:
+        import difflib
+
+        if name and name not in known:
+            near = difflib.get_close_matches(name, known, 1, 0.6)
+            found.append(Problem("E112", place, f"there is no {what} {name}", near[0] if near else ""))
+
+    for collection in suite.collections.values():
+        check(Place(suite.file), "plan", collection.plan, plans)
+    for scenario in suite.scenarios:
+        if not scenario.expectations:
+            found.append(Problem("E113", scenario.place, f"scenario {scenario.name} expects nothing"))
+        for load_ in scenario.loads:
+            check(load_.place, "class", load_.class_name, classes)
+        for happening in scenario.happenings:
+            for name in happening.servers:
+                check(happening.place, "server", name, servers)
+        for of in scenario.expectations:
+            check(of.place, "class", of.of.class_name, classes)
+            check(of.place, "plan", of.of.plan, plans)
+            check(of.place, "collection", of.of.collection, set(suite.collections))
+            for name in of.servers:
+                check(of.place, "server", name, servers)
+        for a, b, why in contradictions(scenario.expectations):
+            found.append(Problem("E114", b.place, f"contradicts line {a.place.line}: {why}"))
+    return found
--- /dev/null
+++ b/umberlead/expect/verdict.py
@@ -0,0 +1,161 @@
+"""Expectations against the lives of a scenario's requests. Pure; each verdict names a witness."""
+
+from collections.abc import Callable, Iterable
+
+from umberlead.core.interface import Effect, Settings
+from umberlead.expect.model import Expectation, Life, Outcome, Selector, Step, Verdict
+from umberlead.expect.proportion import Judged, judge, needed
+
+NEVER_RAN = frozenset(("full", "no_link", "astray"))
+
+
+def fits(of: Selector, life: Life) -> bool:
+    return (
+        (not of.class_name or life.class_name == of.class_name)
+        and (not of.plan or life.plan == of.plan)
+        and (not of.collection or life.collection == of.collection)
+        and (of.shard is None or (life.shard == of.shard and not life.new))
+        and (of.new is None or life.new == of.new)
+        and of.begin <= life.at < of.end
+    )
+
+
+def may_have_run(steps: Iterable[Step]) -> bool:
+    """Whether an attempt before the end of `steps` may have taken effect; one still out may."""
+    out = 0
+    for step in steps:
+        if step.kind == "sent":
+            out += 1
+        elif step.kind == "ended":
+            out -= 1
+            if step.word not in NEVER_RAN:
+                return True
+    return out > 0
+
+
+def sent_again(life: Life, unsafe: bool) -> Step | None:
+    """A sending that breaks "sent once": while another is out, or after one that may have run."""
+    out = False
+    for k, step in enumerate(life.steps):
+        if step.kind == "ended":
+            out = False
+        elif step.kind == "sent":
+            if out or (unsafe and may_have_run(life.steps[:k])):
+                return step
+            out = True
+    return None
+
+
+def _routed(of: Expectation, life: Life, _: Settings) -> str:
+    for step in life.sent():
+        if step.at >= of.after and (step.server in of.servers) == (of.rule == "never"):
+            allowed = ", ".join(of.servers)
+            if of.rule == "never":
+                return f"it was sent to {step.server} at {step.at / 1000:.0f} ms"
+            return f"it was sent to {step.server}, which is none of {allowed}"
+    return ""
+
+
+def _attempts(of: Expectation, life: Life, _: Settings) -> str:
+    n = len(life.sent())
+    return f"it was sent {n} times" if n > of.limit else ""
+
+
+def _once(of: Expectation, life: Life, settings: Settings) -> str:
+    cls = next(c for c in settings.classes if c.name == life.class_name)
+    step = sent_again(life, cls.effect is not Effect.SAFE)
+    if step is None:
+        return ""
+    return f"it was sent to {step.server} at {step.at / 1000:.0f} ms though an earlier attempt may have run"
+
+
+def _within(of: Expectation, life: Life, _: Settings) -> str:
+    answers = life.answers()
+    if not answers:
+        return "it was never answered"
+    took = answers[0].at - life.at
+    return f"it was answered after {took / 1000:.0f} ms" if took > of.limit else ""
+
+
+def _prompt(of: Expectation, life: Life, settings: Settings) -> str:
+    answers = life.answers()
+    refused = answers and answers[0].word == "refused"
+    return _within(of, life, settings) if refused else ""
+
+
+def _ends(of: Expectation, life: Life, _: Settings) -> str:
+    words = [step.word for step in life.answers()]
+    if len(words) != 1:
+        return f"it has {len(words)} answers"
+    if of.rule == "answered-once" or words[0] == of.rule:
+        return ""
+    return f"it was {words[0]}"
+
+
+RULES: dict[str, Callable[[Expectation, Life, Settings], str]] = {
+    "only": _routed, "never": _routed, "attempts": _attempts, "once": _once, "within": _within,
+    "prompt": _prompt, "served": _ends, "refused": _ends, "answered-once": _ends,
+}  # fmt: skip
+
+
+def _share(of: Expectation, lives: list[Life], scenario: str) -> Verdict:
+    first = [life.sent()[0] for life in lives if life.sent()]
+    hits = sum(step.server in of.servers for step in first)
+    got = judge(hits, len(first), of.limit, of.tolerance)
+    want = f"wanted {of.limit:.2%} within {of.tolerance:.2%}; {got.words()}"
+    if got.judged is Judged.INSIDE:
+        return Verdict(of, scenario, Outcome.HELD, want, None, len(first))
+    if got.judged is Judged.UNTOLD:
+        more = needed(of.limit, of.tolerance)
+        why = f"{want}: the sample can't tell; it takes about {more} requests, or a wider tolerance"
+        return Verdict(of, scenario, Outcome.ERROR, why, None, len(first))
+    over = got.measured > of.limit
+    witness = next(
+        (life for life in lives if life.sent() and (life.sent()[0].server in of.servers) == over), None
+    )
+    return Verdict(of, scenario, Outcome.FAILED, want, witness, len(first))
+
+
+def judged(of: Expectation, lives: list[Life], settings: Settings, scenario: str) -> Verdict:
+    """One expectation over all that fits it. Nothing that fits is an error: it would hold whatever
+    happens."""
+    chosen = [life for life in lives if fits(of.of, life)]
+    if not chosen:
+        return Verdict(of, scenario, Outcome.ERROR, "no request of this scenario fits the expectation")
+    if of.rule == "share":
+        return _share(of, chosen, scenario)
+    check = RULES[of.rule]
+    for life in chosen:
+        if why := check(of, life, settings):
+            return Verdict(of, scenario, Outcome.FAILED, why, life, len(chosen))
+    if of.rule == "prompt" and not any(s.word == "refused" for life in chosen for s in life.answers()):
+        return Verdict(of, scenario, Outcome.ERROR, "nothing is refused: the expectation tells nothing")
+    return Verdict(of, scenario, Outcome.HELD, "", None, len(chosen))
+
+
+def contradictions(expectations: list[Expectation]) -> list[tuple[Expectation, Expectation, str]]:
+    """Pairs that can't both hold for the same requests, found before anything is played."""
+    found = []
+    for k, a in enumerate(expectations):
+        for b in expectations[k + 1 :]:
+            if a.of != b.of:
+                continue
+            rules = {a.rule, b.rule}
+            both = set(a.servers) & set(b.servers)
+            if rules in ({"served", "refused"},):
+                found.append((a, b, "all can't be both served and refused"))
+            elif rules in ({"only"}, {"may-only"}) and not both:
+                found.append((a, b, "no server is in both"))
+            elif rules in ({"only", "never"}, {"may-only", "may-never"}):
+                only, never = (a, b) if a.rule.endswith("only") else (b, a)
+                if set(only.servers) <= set(never.servers) and not never.after:
+                    found.append((a, b, "every server that is left is forbidden"))
+    shares: dict[Selector, list[Expectation]] = {}
+    for of in expectations:
+        if of.rule == "share":
+            shares.setdefault(of.of, []).append(of)
+    for many in shares.values():
+        apart = all(not set(a.servers) & set(b.servers) for k, a in enumerate(many) for b in many[k + 1 :])
+        if apart and sum(of.limit - of.tolerance for of in many) > 1 + 1e-9:
+            found.append((many[0], many[-1], "the shares add up to more than all"))
+    return found
--- a/umberlead/membership/grammar.py
+++ b/umberlead/membership/grammar.py
@@ -128,10 +128,13 @@
         return "server", made, name.column or 1
 
 
+def keywords_of(parser: Lark) -> dict[str, str]:
+    return {t.name: str(t.pattern.value) for t in parser.terminals if t.pattern.type == "str"}
+
+
 _parser = Lark(GRAMMAR, parser="lalr", lexer="contextual", propagate_positions=False)
 _read = _Read()
-KEYWORDS = {str(t.pattern.value): t.name for t in _parser.terminals if t.pattern.type == "str"}
-_by_name = {name: word for word, name in KEYWORDS.items()}
+_by_name = keywords_of(_parser)
 _lines: dict[str, Any] = {}
 
 
@@ -145,8 +148,8 @@
     return sorted(names - {"COMMENT", "__IGNORE_0"})
 
 
-def _fault(text: str, fault: UnexpectedInput) -> tuple[int, str, str]:
-    """Column, what was expected, and the nearest known word."""
+def fault_of(text: str, fault: UnexpectedInput, keywords: dict[str, str]) -> tuple[int, str, str]:
+    """Column, what was expected, and the nearest known word; `keywords` by their terminals' names."""
     column = fault.column if isinstance(fault.column, int) and fault.column > 0 else len(text.rstrip()) + 1
     if isinstance(fault, UnexpectedEOF) or getattr(getattr(fault, "token", None), "type", "") == "$END":
         column = len(text.split("#")[0].rstrip()) + 1
@@ -156,7 +159,7 @@
         column, word = _word_start(text, column)
     if word:  # that the line might have ended there is no help
         names = [n for n in names if n != "$END"] or names
-    known = [_by_name[n] for n in names if n in _by_name]
+    known = [keywords[n] for n in names if n in keywords]
     wanted = [WORDS[n] for n in names if n in WORDS] + [repr(w) for w in sorted(known)]
     near = difflib.get_close_matches(word.lower(), known, 1, 0.6) if word else []
     found = f"found {word!r}" if word else "the line ends"
@@ -180,7 +183,7 @@
     try:
         got = _read.transform(_parser.parse(text))
     except UnexpectedInput as fault:
-        return "!", _fault(text, fault), 0
+        return "!", fault_of(text, fault, _by_name), 0
     except VisitError as fault:
         if not isinstance(fault.orig_exc, Bad):
             raise
