--- a/tests/test_expect.py
+++ b/tests/test_expect.py
@@ -94,15 +94,16 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "unsafe", "found"),
+    ("text", "found"),
     [
-        ("a +reset b", True, True), ("a +reset b", False, False), ("a +full b +ok", True, False),
-        ("a +no_link b +no_link c", True, False), ("a b", False, True), ("a +astray b", True, False),
-        ("a +timeout =failed", True, False), ("a +error b +ok", True, True),
+        ("a +reset b", True), ("a +full b +ok", False), ("a +no_link b +no_link c", False), ("a b", True),
+        ("a +astray b", False), ("a +timeout =failed", False), ("a +error b +ok", True),
     ],
 )  # fmt: skip
-def test_a_second_sending_is_judged_by_what_the_first_proved(text: str, unsafe: bool, found: bool) -> None:
-    assert (sent_again(life(text), unsafe) is not None) == found
+def test_a_second_sending_is_judged_by_what_the_first_proved(text: str, found: bool) -> None:
+    """Whatever the configuration says of the class: that may be what is wrong."""
+    for cls in ("read", "once"):
+        assert (sent_again(life(text, cls)) is not None) == found
 
 
 def test_an_attempt_that_is_out_may_have_run() -> None:
@@ -252,6 +253,13 @@
     assert tracks[0] == tracks[1] != running._track(running.lives_of(ready, scenario)[0])
 
 
+def test_what_befalls_a_server_that_is_not_listed_then_is_an_error_of_the_suite(tmp_path: Path) -> None:
+    rows = ("at 1s leave node-a0", "at 2s drain node-a0", "expect served")
+    got = expect(str(write(tmp_path, LOAD, *rows)))
+    assert got.exit_code == 1
+    assert "x.suite:8:1: drain at 2 s: no server node-a0 is listed then" in got.stdout
+
+
 def test_draining_and_gone_in_one_change_end_all_new_work(tmp_path: Path) -> None:
     rows = ("at 1s drain node-a0", "at 1s leave node-a0", "expect never node-a0 after 1s", "expect served")
     got = expect(str(write(tmp_path, LOAD, *rows)))
--- a/umberlead/expect/reach.py
+++ b/umberlead/expect/reach.py
@@ -107,7 +107,6 @@
 ) -> Verdict:
     """Holds for every sequence of every shape that fits, or fails with the shortest one found. `walked` keeps
     what was walked already."""
-    unsafe = {c.name: c.effect.value != "safe" for c in settings.classes}
     fitting, count = shapes(of.of, settings, listing, collections), 0
     if not fitting:
         return Verdict(of, scenario, Outcome.ERROR, "no shape of request fits the expectation")
@@ -119,7 +118,7 @@
             for life in walked[shape]:
                 count += 1
                 why = _fault(of, life)
-                if of.rule == "may-once" and (step := sent_again(life, unsafe[shape.class_name])) is not None:
+                if of.rule == "may-once" and (step := sent_again(life)) is not None:
                     why = f"it can be sent to {step.server} after an attempt that may have run"
                 if why and (worst is None or len(life.steps) < worst[0]):
                     ends = ", ".join(s.word for s in life.steps if s.kind == "ended")
--- a/umberlead/expect/running.py
+++ b/umberlead/expect/running.py
@@ -10,7 +10,7 @@
 from umberlead.expect.model import Expectation, Life, Outcome, Scenario, Verdict
 from umberlead.expect.suites import Ready, load
 from umberlead.expect.verdict import judged
-from umberlead.expect.world import World
+from umberlead.expect.world import NotListed, World
 
 
 @dataclass(slots=True)
@@ -37,7 +37,11 @@
 def play(ready: Ready, scenario: Scenario) -> Played:
     """The verdicts of a scenario. Explained notes are gathered only where something failed."""
     began = time.perf_counter()
-    lives, faults = lives_of(ready, scenario)
+    try:
+        lives, faults = lives_of(ready, scenario)
+    except NotListed as fault:
+        errors = [Verdict(of, scenario.name, Outcome.ERROR, str(fault)) for of in scenario.expectations]
+        return Played(scenario.name, errors, 0, time.perf_counter() - began)
     verdicts = list[Verdict]()
     again, _ = lives_of(ready, scenario)
     if faults:
--- a/umberlead/expect/verdict.py
+++ b/umberlead/expect/verdict.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from umberlead.core.interface import Effect, Settings
+from umberlead.core.interface import Settings
 from umberlead.expect.model import Expectation, Life, Outcome, Selector, Step, Verdict
 from umberlead.expect.proportion import Judged, judge, needed
 
@@ -33,14 +33,16 @@
     return out > 0
 
 
-def sent_again(life: Life, unsafe: bool) -> Step | None:
-    """A sending that breaks "sent once": while another is out, or after one that may have run."""
+def sent_again(life: Life) -> Step | None:
+    """A sending that breaks "sent once": while another is out, or after one that may have run. Whether the
+    configuration lets the class be repeated doesn't count: a suite that took it from there could not find it
+    wrong."""
     out = False
     for k, step in enumerate(life.steps):
         if step.kind == "ended":
             out = False
         elif step.kind == "sent":
-            if out or (unsafe and may_have_run(life.steps[:k])):
+            if out or may_have_run(life.steps[:k]):
                 return step
             out = True
     return None
@@ -61,9 +63,8 @@
     return f"it was sent {n} times" if n > of.limit else ""
 
 
-def _once(of: Expectation, life: Life, settings: Settings) -> str:
-    cls = next(c for c in settings.classes if c.name == life.class_name)
-    step = sent_again(life, cls.effect is not Effect.SAFE)
+def _once(of: Expectation, life: Life, _: Settings) -> str:
+    step = sent_again(life)
     if step is None:
         return ""
     return f"it was sent to {step.server} at {step.at / 1000:.0f} ms though an earlier attempt may have run"
--- a/umberlead/expect/world.py
+++ b/umberlead/expect/world.py
@@ -38,6 +38,10 @@
 }  # fmt: skip
 
 
+class NotListed(ValueError):
+    """Something befalls a server that the list doesn't name at that time; the text tells which."""
+
+
 class Loop:
     """Virtual time, and what is due in it; ties go by the order in which they were set."""
 
@@ -150,12 +154,15 @@
         servers = dict(self._now)
         for name in of.servers:
             model = self.models.setdefault(name, Modelled())
+            if name not in servers and (of.what != "back" or name not in self._first):
+                raise NotListed(
+                    f"{of.place}: {of.what} at {of.at / 1e6:g} s: no server {name} is listed then"
+                )
             if of.what == "drain":
                 servers[name] = replace(servers[name], state=NodeState.DRAINING)
             elif of.what == "back":
                 model.alive, model.slow, model.mix = True, 1.0, {}
-                known = self.machine.listing.servers.get(name) if self.machine.listing else None
-                servers[name] = replace(servers.get(name) or known or self._first[name], state=NodeState.UP)
+                servers[name] = replace(servers.get(name) or self._first[name], state=NodeState.UP)
             elif of.what == "leave":
                 servers.pop(name, None)
             elif of.what == "cold":
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -184,7 +184,9 @@
                 self.engine, lambda: bool(self.servers) and not self.told_to_stop, self.mark, self.knows
             )
             control.lists = self.lists
-            self.doors.append((Listener(control, door, conf.management, self.loop), door))
+            listener = Listener(control, door, conf.management, self.loop)
+            self.doors.append((listener, door))
+            self.log.info("door", address=":".join(map(str, listener.address)))
         self.look()
         self.limit()
         for handler, group, address in ready:
--- a/umberlead/standins/chunkserver.py
+++ b/umberlead/standins/chunkserver.py
@@ -57,6 +57,10 @@
         self.name, self.shard, self.model, self.record = name, shard, model, record
         self.chance = random.Random(f"{seed}/{name}")
         self.blocks: dict[str, bytes] = {}
+        self.force = (
+            ""  # how each request ends: error, reset, full, astray, timeout; "" as the model draws it
+        )
+        self.address = ("", 0)
         self.busy = 0
         self.waiting: deque[Callable[[], None]] = deque()
         self.listener: asyncio.Server | None = None
@@ -65,7 +69,13 @@
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: _Connection(self), host, port, backlog=512)
-        return int(self.listener.sockets[0].getsockname()[1])
+        self.address = (host, int(self.listener.sockets[0].getsockname()[1]))
+        return self.address[1]
+
+    def down(self) -> None:
+        """Nobody listens any longer, and what stood is gone; `listen` at its address brings it back."""
+        self.close()
+        self.listener = None
 
     def close(self) -> None:
         if self.listener is not None:
@@ -149,7 +159,10 @@
             "block": block,
             "shard": int(io.get("shard", "-1")),
         }
-        if row["shard"] not in (-1, server.shard):
+        if server.force == "full":
+            server.record.add(row | {"end": "full"})
+            return self.answer(503, b"", b"X-Rejected: 1\r\n")
+        if row["shard"] not in (-1, server.shard) or server.force == "astray":
             server.record.add(row | {"end": "astray"})
             return self.answer(504, b"", b"X-Rejected: 1\r\n")
         units = float(io.get("units", "1"))
@@ -166,10 +179,13 @@
         server, model = self.server, self.server.model
         draw = server.chance.random()
         end = "error" if draw < model.errors else "reset" if draw < model.errors + model.resets else "ok"
+        end = server.force or end
         if method == b"PUT":
             server.store(block, body)  # an answer that gets lost, or is an error, may have run
         server.record.add(row | {"end": end})
         server.finished()
+        if end == "timeout":
+            return  # it has run, and says nothing
         if end == "reset":
             if self.transport is not None:
                 self.transport.abort()
