--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch bench-long-lists clean
+.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -54,6 +54,10 @@
 bench-lists bench-watch: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.watched_lists --keep
 
+# Mistakes planted in configuration, list and program, each to be named by a rule of the example suite; 2 minutes.
+planted-routes: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.planted_routes --keep
+
 # Lists of up to 20,000 servers loaded beside a live loop; a quarter of a minute.
 bench-long-lists: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.long_lists --keep
