Compare routing in virtual time and on sockets, request by request

make both-ways: a front in its own process over a watched list and stand-ins, against the same requests and moves at the same times in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes clean
+.PHONY: build test lint check run front planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -58,6 +58,10 @@
 planted-routes: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.planted_routes --keep
 
+# 36 scenarios in virtual time and on sockets, compared request by request; a minute and a quiet machine.
+both-ways: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.both_ways --keep
+
 # Lists of up to 20,000 servers loaded beside a live loop; a quarter of a minute.
 bench-long-lists: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.long_lists --keep
--- /dev/null
+++ b/benchmarks/both_ways.py
@@ -0,0 +1,323 @@
+"""Scenarios played in virtual time and on sockets, routing compared request by request: `make both-ways`.
+
+Each scenario is drawn from its seed: requests one after the other, each waited for, and between them servers
+that drain, leave, come back, are out by hand, or end what they get in one of six ways. On sockets a front in
+a process of its own watches the list and stand-ins serve it; what went where is their record's word. In
+virtual time the same requests come at the same intervals. A request agrees if the same servers got it in the
+same order, and its answer is of the same kind."""
+
+import argparse
+import asyncio
+import json
+import random
+import re
+import sys
+import tempfile
+import urllib.request
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from umberlead import config
+from umberlead.expect.model import Collection, Happening, Load
+from umberlead.expect.world import START, Modelled, World
+from umberlead.membership.loading import Loader
+from umberlead.membership.resolve import Resolver
+from umberlead.standins.chunkserver import ChunkServer, Model, Record
+
+ROOT = Path(__file__).parent.parent
+OUT = ROOT / "docs" / "measurements" / "both-ways.md"
+SHARDS, EVERY = 3, 47_000  # us between requests: no multiple falls on the end of a rest
+PACES = {
+    "a": 0.004,
+    "b": 0.020,
+}  # s of work of a unit, far enough apart that the quicker one is told on sockets
+ENDS = ("error", "reset", "full", "astray", "no-link", "")
+KINDS = {200: "served", 503: "refused", 502: "failed"}
+CONFIG = """
+name = "f"
+listen = "127.0.0.1:0"
+management = "127.0.0.1:0"
+[membership]
+list = "main.list"
+withdrawn_most = 1.0
+settle_ms = 0
+flap_half_life_s = 0.1
+flap_suppress = 8
+[log]
+level = "info"
+[settings]
+instances = 1
+tick = 2000
+[settings.bounds]
+maxAttempts = 3
+dialTimeout = 250000
+[settings.extra]
+meanUnits = 1.0
+maxUnits = 4.0
+nShards = 3
+[[settings.grades]]
+name = "image-read"
+aim = 600000
+hardLimit = 2000000
+effect = "idempotent"
+[[settings.grades]]
+name = "image-upload"
+aim = 600000
+hardLimit = 2000000
+effect = "at_most_once"
+[[settings.plans]]
+name = "basic"
+"""
+
+
+@dataclass
+class Move:
+    """Before a request: what befalls a server."""
+
+    what: str
+    server: str
+    word: str = ""
+
+
+@dataclass
+class Script:
+    seed: int
+    requests: list[tuple[str, int]] = field(default_factory=list)  # class and shard
+    moves: dict[int, list[Move]] = field(default_factory=dict)
+
+
+NAMES = [f"{c}{s}" for s in range(SHARDS) for c in PACES]
+
+
+def draw(seed: int, length: int) -> Script:
+    chance, made = random.Random(seed), Script(seed)
+    listed, out = dict.fromkeys(NAMES, "ready"), set[str]()
+    for k in range(length):
+        made.requests.append(
+            (chance.choice(["image-read", "image-read", "image-upload"]), chance.randrange(SHARDS))
+        )
+        if k % 3 or not k:
+            continue
+        name = chance.choice(NAMES)
+        other = ("b" if name[0] == "a" else "a") + name[1:]
+        kind = chance.choice(["drain", "leave", "back", "hand", "end", "end"])
+        if kind in ("drain", "leave") and listed[name] == listed[other] == "ready":  # one of a shard stays
+            listed[name] = kind
+            made.moves[k] = [Move(kind, name)]
+        elif kind == "back" and listed[name] != "ready":
+            listed[name] = "ready"
+            made.moves[k] = [Move(kind, name)]
+        elif kind == "hand" and listed[name] == "ready":
+            out ^= {name}
+            made.moves[k] = [Move("out" if name in out else "in", name)]
+        elif kind == "end":
+            made.moves[k] = [Move("outcome", name, chance.choice(ENDS))]
+    return made
+
+
+def sheet(version: int, listed: dict[str, str], ports: dict[str, int]) -> str:
+    rows = ["format 1", f"version {version}"]
+    for name, state in listed.items():
+        if state != "leave":
+            more = " state draining" if state == "drain" else ""
+            rows.append(f"server {name} address 127.0.0.1:{ports[name]} shard {name[1:]}{more}")
+    return "\n".join([*rows, f"end {len(rows)}", ""])
+
+
+Route = tuple[tuple[str, ...], str]
+
+
+def virtual(script: Script, folder: Path, times: list[tuple[float, float]]) -> list[Route]:
+    """The same requests and moves at the times (s) that they had on sockets."""
+    path = folder / "virtual.list"
+    ports = {name: 9000 + k for k, name in enumerate(NAMES)}
+    path.write_text(sheet(1, dict.fromkeys(NAMES, "ready"), ports))
+    listing = Loader(path, 0, Resolver(lambda host: ())).load(None).verdict.listing
+    assert listing is not None
+    world = World(config.operator(str(folder / "front.toml")).settings, listing, script.seed)
+    world._first = dict(listing.servers)
+    for name in NAMES:
+        world.models[name] = Modelled(PACES[name[0]] / 0.020)
+    made = []
+    for k, (cls, shard) in enumerate(script.requests):
+        world.loop.run(START + int(times[k][0] * 1e6))
+        for move in script.moves.get(k, ()):
+            if move.what == "outcome":
+                world.models[move.server].mix = {move.word: 1.0} if move.word else {}
+            else:
+                slow, mix = world.models[move.server].slow, world.models[move.server].mix
+                world.happen(Happening(0, move.what, (move.server,)), {})
+                world.models[move.server].slow, world.models[move.server].mix = slow, mix
+        world.loop.run(START + int(times[k][1] * 1e6))
+        load = Load("c", cls, 1.0, 0, 1)
+        made.append(world.take(Collection("c", "basic", (shard,)), "0a", load, shard, k, f"{k:016x}"))
+    world.loop.run(world.loop.now + 5_000_000)
+    return [
+        (tuple(s.server for s in of.sent()), of.answers()[0].word if of.answers() else "none") for of in made
+    ]
+
+
+class Real:
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.record = folder, Record()
+        self.servers: dict[str, ChunkServer] = {}
+        self.listed = dict.fromkeys(NAMES, "ready")
+        self.version = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self.times: list[tuple[float, float]] = []  # s: moves done, and the request sent
+
+    async def start(self) -> None:
+        for name in NAMES:
+            server = ChunkServer(
+                name, int(name[1:]), Model(unit=PACES[name[0]], spread=0, synthetic=True), self.record, 1
+            )
+            await server.listen("127.0.0.1", 0)
+            self.servers[name] = server
+        self.ports = {name: s.address[1] for name, s in self.servers.items()}
+        self.swap()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "umberlead", "run", str(self.folder / "front.toml"),
+            cwd=ROOT, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        assert self.process.stderr is not None
+        found: dict[str, int] = {}
+        while len(found) < 2:
+            line = (await asyncio.wait_for(self.process.stderr.readline(), 20)).decode()
+            assert line, "the front did not start"
+            for word, port in re.findall(r' (listening|door) .*address="127.0.0.1:(\d+)"', line):
+                found[word] = int(port)
+        self.port, self.door = found["listening"], found["door"]
+        self.drain = asyncio.create_task(self.process.stderr.read())
+
+    def swap(self) -> None:
+        self.version += 1
+        path = self.folder / "next"
+        path.write_text(sheet(self.version, self.listed, self.ports))
+        path.rename(self.folder / "main.list")
+
+    def call(self, path: str, method: str = "GET") -> str:
+        request = urllib.request.Request(f"http://127.0.0.1:{self.door}{path}", method=method)
+        with urllib.request.build_opener(urllib.request.ProxyHandler({})).open(request, timeout=5) as answer:
+            return str(answer.read().decode())
+
+    async def move(self, of: Move) -> None:
+        server = self.servers[of.server]
+        if of.what == "outcome":
+            if of.word == "no-link":
+                server.down()
+            elif server.listener is None:
+                await server.listen(*server.address)
+            server.force = of.word if of.word != "no-link" else ""
+            await asyncio.sleep(0.005)
+        elif of.what in ("out", "in"):
+            path = f"/control/chunk-servers/{of.server}/{'offline' if of.what == 'out' else 'online'}"
+            await asyncio.to_thread(self.call, path, "PUT")
+        else:
+            self.listed[of.server] = "ready" if of.what == "back" else of.what
+            self.swap()
+            while json.loads(await asyncio.to_thread(self.call, "/control/list"))["version"] != self.version:
+                await asyncio.sleep(0.002)
+
+    async def ask(self, k: int, cls: str, shard: int) -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        write = cls == "image-upload"
+        head = f"{'PUT' if write else 'GET'} /{cls}?block={k:016x} HTTP/1.1\r\nHost: f\r\nX-Call-Id: q{k}\r\n"
+        head += f"X-Plan: basic\r\nX-IO: volume=0a,units=1,shard={shard},hosts=1\r\n"
+        writer.write(f"{head}Content-Length: {3 if write else 0}\r\n\r\n{'abc' if write else ''}".encode())
+        line = await reader.readline()
+        writer.close()
+        return KINDS.get(int(line.split()[1]), "other") if line else "none"
+
+    async def play(self, script: Script) -> list[Route]:
+        await self.start()
+        loop, answers = asyncio.get_running_loop(), list[str]()
+        begin = loop.time()
+        for k, (cls, shard) in enumerate(script.requests):
+            for move in script.moves.get(k, ()):
+                await self.move(move)
+            moved = loop.time() - begin
+            await asyncio.sleep(max(begin + k * EVERY / 1e6 - loop.time(), 0))
+            self.times.append((moved, loop.time() - begin))
+            answers.append(await self.ask(k, cls, shard))
+        self.process.terminate()
+        await self.process.wait()
+        await self.drain
+        for server in self.servers.values():
+            server.close()
+        sent: dict[str, list[str]] = {}
+        for row in sorted(self.record.rows, key=lambda r: r["t"]):
+            sent.setdefault(row["id"], []).append(row["server"])
+        return [(tuple(sent.get(f"q{k}", ())), answer) for k, answer in enumerate(answers)]
+
+
+def written(route: Route, down: set[str]) -> Route:
+    """As a record would have it: a link that never came up leaves no line there."""
+    return tuple(s for s in route[0] if s not in down), route[1]
+
+
+def downs(script: Script) -> Iterator[set[str]]:
+    down = set[str]()
+    for k in range(len(script.requests)):
+        for move in script.moves.get(k, ()):
+            if move.what == "outcome":
+                (down.add if move.word == "no-link" else down.discard)(move.server)
+        yield set(down)
+
+
+async def both(seed: int, length: int) -> tuple[int, list[str]]:
+    script = draw(seed, length)
+    with tempfile.TemporaryDirectory() as root:
+        folder = Path(root)
+        (folder / "front.toml").write_text(CONFIG)
+        world = Real(folder)
+        try:
+            real = await asyncio.wait_for(world.play(script), 60)
+        finally:
+            if world.process is not None and world.process.returncode is None:
+                world.process.kill()
+        model = [
+            written(r, down)
+            for r, down in zip(virtual(script, folder, world.times), downs(script), strict=True)
+        ]
+    differ = [
+        f"seed {seed}, request {k} ({script.requests[k]}): sockets {a}, virtual {b}"
+        for k, (a, b) in enumerate(zip(real, model, strict=True))
+        if a != b
+    ]
+    return len(real), differ
+
+
+async def run(count: int, length: int, side: int) -> list[tuple[int, list[str]]]:
+    gate = asyncio.Semaphore(side)
+
+    async def one(seed: int) -> tuple[int, list[str]]:
+        async with gate:
+            return await both(seed, length)
+
+    return list(await asyncio.gather(*(one(seed) for seed in range(1, count + 1))))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--scenarios", type=int, default=36)
+    parser.add_argument("--requests", type=int, default=60)
+    parser.add_argument("--side-by-side", type=int, default=3)
+    parser.add_argument("--keep", action="store_true")
+    words: Any = parser.parse_args()
+    made = asyncio.run(run(words.scenarios, words.requests, words.side_by_side))
+    total, differ = sum(n for n, _ in made), [line for _, lines in made for line in lines]
+    same = sum(not lines for _, lines in made)
+    text = "# Virtual time and sockets\n\n"
+    text += f"`make both-ways`; {words.scenarios} scenarios of {words.requests} requests.\n\n"
+    text += f"{total - len(differ)} of {total} requests went and were answered alike; {same} scenarios wholly.\n\n"
+    text += "\n".join(f"- {line}" for line in differ[:40]) + "\n" * bool(differ)
+    print(text)
+    if words.keep:
+        OUT.write_text(text)
+    return 0 if len(differ) <= total // 100 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
