--- a/benchmarks/both_ways.py
+++ b/benchmarks/both_ways.py
@@ -311,7 +311,7 @@
     same = sum(not lines for _, lines in made)
     text = "# Virtual time and sockets\n\n"
     text += f"`make both-ways`; {words.scenarios} scenarios of {words.requests} requests.\n\n"
-    text += f"{total - len(differ)} of {total} requests went and were answered alike; {same} scenarios wholly.\n\n"
+    text += f"{total - len(differ)} of {total} requests went alike; {same} scenarios wholly.\n\n"
     text += "\n".join(f"- {line}" for line in differ[:40]) + "\n" * bool(differ)
     print(text)
     if words.keep:
