--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check demo run rehearse front bench-rehearsals bench-fleet bench-versions bench-rooms planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual clean
+.PHONY: build test lint check demo run rehearse front planted-moments bench-rehearsals bench-fleet bench-versions bench-rooms planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -54,6 +54,10 @@
 planted-lists: $(DEV)/requirements.done
 	$(DEV)/bin/python -B tests/planted.py
 
+# Mistakes planted in what rare moments were mended with, one at a time; two minutes.
+planted-moments: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m tests.planted_moments
+
 # All orders of events through the lists' machine, to DEPTH.
 DEPTH ?= 5
 explore-lists: $(DEV)/requirements.done
--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -67,6 +67,9 @@
     def stop(self, attempt: Attempt, why: Result) -> None:
         raise AssertionError("nothing is late here")
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        return False
+
 
 def decisions(observed: bool) -> float:
     """us of CPU of one request through engine and module, with its outcome."""
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -10,8 +10,16 @@
     client NAME FRONT      a connection to the `platform` or `objects` front, or to `control`
     NAME >  /  NAME <      sends, or expects, the lines below it
     NAME next WORD ...     how a storing chunk server ends its next requests: ok, full, error, reset, stall,
-                           missing; one that stalls or resets has run the request
-    NAME close, NAME eof   breaks the connection, or expects its end; NAME finish ends it in order
+                           missing, hold; one that stalls, resets or holds has run the request
+    NAME close, NAME eof   breaks the connection, or expects its end; NAME finish ends it in order, NAME reset
+                           resets it, NAME half ends its sending alone
+    NAME release N         a storing chunk server answers N requests that it holds, the oldest first
+    dials hold, dials go   connections to chunk servers wait to be made; they are made
+    started NAME           the chunk server counts as just started
+    beside                 another process of this front stands beside it
+    lastword               the process's end is due: what is open is answered
+    clock US               the front's clock moves on by so many us, and what is due then is done
+    NAME ran PREFIX N      like writes, whatever was asked
     NAME fresh             waits for the chunk server's, or discovery's, next connection
     writes NAME PREFIX N   N requests in all of that start have run there, none of them twice
     counter NAME N         a counter of the front now; until NAME N waits for it
@@ -26,11 +34,15 @@
 import os
 import re
 import signal
+import socket
+import struct
+import time
 import tomllib
 from collections import Counter
+from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import uvloop
@@ -65,6 +77,7 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # what is written is on its way at once
 
     def data_received(self, data: bytes) -> None:
         self.got += data
@@ -108,6 +121,8 @@
             self.transport.abort()
         elif how == "error":
             self.answer(500, b"")
+        elif how == "hold":
+            self.node.held.append(lambda: self.answer(200, b"" if method == "PUT" else b"x"))
         elif how != "stall":
             block = self.node.blocks.get(target.partition("?")[2]) if how == "ok" else None
             self.answer(404 if block is None else 200, b"" if method == "PUT" else block or b"")
@@ -122,6 +137,7 @@
         self.blocks: dict[str, bytes] = {}
         self.ran: Counter[str] = Counter()
         self.next: list[str] = []
+        self.held: list[Callable[[], None]] = []
         self.peers: list[Peer] = []
         self.arrived = asyncio.Event()
 
@@ -136,10 +152,35 @@
         return self.peers[-1]
 
 
+class Clock:
+    """Real time and what is added to it by hand."""
+
+    def __init__(self) -> None:
+        self.added = 0
+        self.anchor = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (time.monotonic_ns() + self.anchor) // 1000 + self.added
+
+
+class Gate:
+    """The loop as the pool sees it: connections are made once the gate is open."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.open = loop, asyncio.Event()
+        self.create_task = loop.create_task
+        self.open.set()
+
+    async def create_connection(self, *words: Any) -> Any:
+        await self.open.wait()
+        return await self.loop.create_connection(*words)
+
+
 class Exchange:
-    def __init__(self, path: Path) -> None:
+    def __init__(self, of: Path | str) -> None:
         self.steps: list[tuple[list[str], list[str]]] = []
-        for line in path.read_text().splitlines():
+        self.clock, self.gate = Clock(), cast(Gate, None)
+        for line in (of if isinstance(of, str) else of.read_text()).splitlines():
             if line.startswith("% "):  # so many times the line behind it
                 number, again = line[2:].split(" ", 1)
                 self.steps[-1][1].extend([again] * int(number))
@@ -196,7 +237,10 @@
         if self.front is None:
             self.patches.enter_context(mock.patch.object(config, "load", self._load))
             self.patches.enter_context(mock.patch("umberlead.front.held", lambda: (4, 0)))
+            self.patches.enter_context(mock.patch("umberlead.front.module_clock", lambda: self.clock))
             self.front = Front(self._load(), asyncio.get_running_loop())
+            self.gate = Gate(asyncio.get_running_loop())
+            self.front.pool.loop = cast(asyncio.AbstractEventLoop, self.gate)
             self.task = asyncio.create_task(self.front.run())
             while len(self.front.servers) < 2:
                 await asyncio.sleep(0)
@@ -231,11 +275,42 @@
                 _, self.peers[name] = await loop.create_connection(Peer, "127.0.0.1", port)
             case ["moves", name]:
                 self.conf["discovery"] = await self._listen(name, True)
+            case ["dials", word]:
+                await self._start()
+                self.gate.open.clear() if word == "hold" else self.gate.open.set()
+            case ["beside"]:
+                front = await self._start()
+                self.patches.enter_context(mock.patch.object(front.shared, "others", lambda: 1))
+                front.look()
+            case ["lastword"]:  # what is due at the process's end, with no time gone by
+                (await self._start()).finish()
+            case ["clock", number]:
+                front = await self._start()
+                self.clock.added += int(number)
+                front.wheel.turn()
+                for _ in range(3):  # what that sets in motion comes one turn later
+                    await asyncio.sleep(0)
+            case [name, "release", number]:
+                end = asyncio.get_running_loop().time() + PATIENCE
+                while len(self.nodes[name].held) < int(number):
+                    assert asyncio.get_running_loop().time() < end, f"{len(self.nodes[name].held)} are held"
+                    await asyncio.sleep(0.001)
+                for _ in range(int(number)):
+                    self.nodes[name].held.pop(0)()
+            case [name, "breaks"]:
+                for each in self.nodes[name].peers:
+                    each.transport.abort()
+            case ["started", name]:  # a moment ago, and so it is cold
+                entry = next(e for e in self.conf["known"]["endpoints"] if e["name"] == name)
+                entry["since_ms"] = time.time_ns() // 1_000_000
             case [name, "next", *how]:
                 self.nodes[name].next = how
             case ["writes", name, prefix, number]:
                 ran = {k: n for k, n in self.nodes[name].ran.items() if k.startswith(prefix)}
                 assert len(ran) == int(number) and set(ran.values()) <= {1}, ran
+            case [name, "ran", prefix, number]:
+                ran = {k: n for k, n in self.nodes[name].ran.items() if prefix in k}
+                assert len(ran) == int(number) and set(ran.values()) <= {1}, ran
             case ["counter", name, number]:
                 front = await self._start()
                 assert front.counters[name] == int(number), front.counters.report()
@@ -271,6 +346,12 @@
             peer.transport.close()
         elif what == "close":
             peer.transport.abort()
+        elif what == "half":
+            peer.transport.write_eof()
+        elif what == "reset":
+            sock = peer.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.transport.abort()
         elif what == "eof":
             while not peer.ended:
                 await peer.more("the end")
--- /dev/null
+++ b/tests/planted_moments.py
@@ -0,0 +1,47 @@
+"""Plants mistakes in what rare moments were mended with, each undoing one mend, and sees whether tests catch it.
+
+`make planted-moments`; the way of working is that of planted.py."""
+
+import sys
+
+from tests import planted
+
+HTTP, ENGINE, DECIDE = "umberlead/net/http.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
+ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
+OBJECTS, MAIN = "umberlead/fronts/objects.py", "umberlead/__main__.py"
+
+planted.TESTS = ("tests/test_client_leaves.py", "tests/test_crossings.py")
+planted.PLANTED = (  # type: ignore[assignment]
+    ("shutdown: what is half read at the end is left open", HTTP, "if self.message is not None and self.open is None and not self.ended:\n            self.refuse(503", "if False:\n            self.refuse(503"),
+    ("shutdown: what waits behind an answer at the end is taken", HTTP, "        self.over = self.leaving = True\n", "        self.leaving = True\n"),
+    ("shutdown: what was never sent counts as doubtful", ENGINE, "unsent = out is None or (self.carrier is not None and self.carrier.unwanted(out))", "unsent = out is None"),
+    ("shutdown: a start that was told to stop listens", FRONT, "if self.told_to_stop:  # before anything was taken", "if False:"),
+    ("shutdown: SIGTERM during a start ends it with a signal", MAIN, "    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))\n", ""),
+    ("shutdown: SIGHUP during a start is lost", FRONT, "        if EARLY:", "        if False:"),
+    ("shutdown: requests sent ahead are dropped", HTTP, "if not self._more() and (self.clients.leaving", "if (self.clients.leaving"),
+    ("idle closing: a request that is here goes with its connection", HTTP, "if self.idle() and not self.arriving():", "if self.idle():"),
+    ("idle closing: room is made of one whose request is here", HTTP, "            if victim.arriving():", "            if False:"),
+    ("bad clients: what came before the noise is dropped", HTTP, "self.message, self._bad = None, (status, why, told)", "self.message, self.ended, self.closing = None, True, True"),
+    ("client gone: unseen where reading is paused", HTTP, "if conn.deaf() and conn.coming() & LEFT:", "if False:"),
+    ("client gone: what waits behind is kept", HTTP, "        self.message = self._bad = None\n        self._drop_waiting()\n", "        self.message = self._bad = None\n"),
+    ("client gone: a dial goes on", ENGINE, "                self.carrier.unwanted(ticket.out)\n            self._post(api.ClientGone", "                pass\n            self._post(api.ClientGone"),
+    ("client gone: a dial given up counts against the node", ATTEMPTS, "result = self.why if self.written or self.why is Result.MOOT else Result.NO_LINK", "result = self.why if self.written else Result.NO_LINK"),
+    ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
+    ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
+    ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
+    ("client gone: a limit is charged for what was not sent", DECIDE, "self.volumes[item.req.volume].limit.have += item.req.units", "pass"),
+    ("hand-over of news: a draining server gets what was dialled", ATTEMPTS, "if self.attempt is not None and not self.pool.takes_new(self.attempt.node):", "if False:"),
+    ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
+    ("watches: what can't be read is passed over", WATCH, "        if not self.watch.line(whole):", "        if not self.watch.line(whole) and False:"),
+    ("watches: an object that breaks off is waited for", WATCH, "            if self.depth:\n                self.end", "            if False:\n                self.end"),
+    ("watches: a call that hangs stands for the whole silence", WATCH, "return UNANSWERED if self.ours and not stream.answered else SILENCE", "return SILENCE"),
+    ("watches: one's own agent is spared for the fleet", WATCH, "if self.ours and not no:", "if False:"),
+    ("watches: silent ones are opened over the whole spread", WATCH, "wait = min(wait, SPREAD)", "pass"),
+    ("watches: requests are taken before the list is here", FRONT, "if self.watch is not None and self.watch.ours:", "if False:"),
+    ("retries: an interim answer begins the stall", ATTEMPTS, "self.begun = False  # the answer itself", "pass  # the answer itself"),
+    ("retries: an answer that never ends goes on", ATTEMPTS, "            self.until = attempt.give_up\n", "            self.until = 1 << 62\n"),
+    ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.leaving = self.processes > 1", "clients.leaving = False"),
+)  # fmt: skip
+
+if __name__ == "__main__":
+    sys.exit(planted.main())
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,408 @@
+"""Two events that cross, each order forced: docs/crossings.md has the table. Whole fronts on real sockets,
+with stand-ins that hold, reset or answer on command and a clock moved on by hand."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+import uvloop
+
+from tests.exchange import Exchange
+from tests.helpers import T0
+from tests.test_client_leaves import DONE, asks, block, play
+from umberlead.config import Listing
+from umberlead.core.counters import Counters
+from umberlead.core.wheel import Wheel
+from umberlead.net.discovery import Watch
+from umberlead.net.http import Clients, Listener
+
+ROOT = Path(__file__).resolve().parent.parent
+CLOSING = "{} <\n| HTTP/1.1 {}\n| Content-Length: {}\n| Connection: close\n|\n~ {}\n"
+FAILED = ("502 Bad Gateway", 33, "failed; it may have taken effect")
+SERVED = "{} <\n| HTTP/1.1 200 OK\n| Content-Length: 0\n| Connection: close\n|\n"
+STOPPED = (
+    "{} <\n| HTTP/1.1 503 Service Unavailable\n| Retry-After: 0.5\n| Content-Length: 25\n"
+    "| Connection: close\n|\n~ refused: the front stops\n"
+)
+REFUSED = (
+    "{} <\n| HTTP/1.1 503 Service Unavailable\n| Retry-After: 0.5\n| Content-Length: 19\n"
+    "| Connection: close\n|\n~ refused: try later\n"
+)
+WELL = "{} >\n| GET /healthz HTTP/1.1\n|\n{} <\n& well\n"
+DRAIN, FINISH = "clock 3310000\n", "clock 3510000\n"  # the settings' longest limit is over 3 s
+
+
+WELL_CLOSING = "| HTTP/1.1 200 OK\n| Content-Length: 3\n| Connection: close\n|\n~ ok"
+
+
+def well(name: str) -> str:
+    return WELL.format(name, name)
+
+
+HEAD = "& ask a1 / 0\n| Content-Length: 4\n|\n"
+HALF = f"a >\n| PUT /write?block={block(1)} HTTP/1.1\n{HEAD}= ab\n"
+
+
+# Shutdown
+
+
+def test_a_request_half_read_is_served_where_its_end_comes() -> None:
+    play("node n0 0\nclient a platform\nclient b platform\n", HALF, well("b"), "signal TERM\n", well("b"),
+         "a >\n= cd\n", DONE.format("a"), "writes n0 PUT 1\n")  # fmt: skip
+
+
+def test_a_request_half_read_at_the_end_is_refused_and_its_end_not_waited_for() -> None:
+    play("node n0 0\nclient a platform\nclient b platform\n", HALF, well("b"), "signal TERM\n", well("b"),
+         "lastword\n", STOPPED.format("a"), "ends\nn0 ran PUT 0\n")  # fmt: skip
+
+
+def test_one_that_waits_is_answered_at_the_end_with_what_is_known_of_it() -> None:
+    """Out at a node, queued behind it, and behind it on its own connection: the first may have run."""
+    play(
+        "node n0 0\nn0 next hold hold\nclient a platform\nclient b platform\nclient c platform\n",
+        asks("a", 1, 6), asks("b", 2, 6), "until attempts_written 2\n", asks("c", 3, 6), asks("a", 4),
+        "until requests_taken 3\nsignal TERM\n", well("d").replace("d >", "client d platform\nd >"), FINISH,
+        "a <\n& failed\n", STOPPED.format("a"), CLOSING.format("b", *FAILED), REFUSED.format("c"),
+        f"ends\nn0 ran {block(3)} 0\nn0 ran {block(4)} 0\n",
+    )  # fmt: skip
+
+
+def test_one_whose_connection_comes_up_too_late_was_not_sent_and_is_refused() -> None:
+    play("node n0 0\nclient a platform\ndials hold\n", asks("a", 1), "until attempts_sent 1\nsignal TERM\n",
+         "lastword\n", REFUSED.format("a"), "dials go\nends\nn0 ran PUT 0\n")  # fmt: skip
+
+
+def test_one_between_tries_is_refused_at_the_end() -> None:
+    play("node n0 0\nn0 next full\nclient a platform\n", asks("a", 1), "until attempts_full 1\nsignal TERM\n",
+         "lastword\n", REFUSED.format("a"), "ends\nn0 ran PUT 0\n")  # fmt: skip
+
+
+def test_a_request_that_crosses_the_closing_of_its_idle_connection_is_served() -> None:
+    """It is here, and not read yet, as the front closes what is idle; closed on, it would be lost."""
+    play("node n0 0\nclient a platform\nclient b platform\n", well("a"), well("b"), "signal TERM\n",
+         well("b"), asks("a", 1), DRAIN, SERVED.format("a"), "b eof\nends\nwrites n0 PUT 1\n")  # fmt: skip
+
+
+def test_requests_sent_ahead_are_all_answered_before_a_connection_ends() -> None:
+    """By a front that stops, and on one that ends for what came behind them."""
+    play(
+        "node n0 0\nn0 next hold\nclient a platform\nclient b platform\n", asks("a", 1), asks("a", 2),
+        "until attempts_written 1\nsignal TERM\n", well("b"), DRAIN, "n0 release 1\n", DONE.format("a"),
+        SERVED.format("a"), "a eof\nends\nwrites n0 PUT 2\n",
+    )  # fmt: skip
+    play(
+        "node n0 0\nn0 next hold\nclient a platform\n", asks("a", 1), asks("a", 2),
+        "until attempts_written 1\na >\n| noise\n|\nn0 release 1\n",
+        DONE.format("a"), DONE.format("a"),
+        "a <\n& bad 400 Bad Request / this is not HTTP/1.1 as it is spoken here\n",
+        "a eof\nwrites n0 PUT 2\n",
+    )  # fmt: skip
+
+
+def _process(folder: Path, listed: str) -> tuple[subprocess.Popen[str], Path]:
+    """A front whose configuration is a pipe: it stands in the middle of reading it until it is written."""
+    fifo = folder / "front.toml"
+    os.mkfifo(fifo)
+    call = [sys.executable, "-B", "-m", "umberlead"]
+    made = subprocess.Popen(
+        call, cwd=ROOT, env=os.environ | {"UMBERLEAD_CONFIG": str(fifo)}, stderr=subprocess.PIPE, text=True
+    )
+    return made, fifo
+
+
+TEXT = """
+name = "f"
+listen = "127.0.0.1:0"
+discovery = "{}"
+[settings]
+plans = [{{ name = "gold" }}]
+[[settings.grades]]
+name = "read"
+aim = 1000000
+hardLimit = 2000000
+effect = "idempotent"
+"""
+
+
+def test_sigterm_while_the_configuration_is_read_ends_the_start_with_0(tmp_path: Path) -> None:
+    process, fifo = _process(tmp_path, "")
+    with open(fifo, "w"):  # opened once the front has it open too
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(60) == 0
+    process.communicate()
+
+
+def test_sighup_while_the_configuration_is_read_is_taken_once_it_can_be(tmp_path: Path) -> None:
+    process, fifo = _process(tmp_path, "")
+    with socket.create_server(("127.0.0.1", 0)) as discovery:
+        text = TEXT.format(f"127.0.0.1:{discovery.getsockname()[1]}")
+        with open(fifo, "w") as file:
+            process.send_signal(signal.SIGHUP)
+            file.write(text)
+            fifo.unlink()  # the next reading has a pipe of its own: this one may still be open
+            os.mkfifo(fifo)
+        with open(fifo, "w") as file:  # it is read again
+            file.write(text)
+        assert process.stderr is not None
+        while "reloaded" not in process.stderr.readline():
+            assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=60)
+        assert process.returncode == 0
+
+
+def test_sigterm_while_the_first_list_is_waited_for_ends_the_start_before_anything_is_taken(
+    tmp_path: Path,
+) -> None:
+    process, fifo = _process(tmp_path, "")
+    with socket.create_server(("127.0.0.1", 0)) as discovery:
+        with open(fifo, "w") as file:
+            file.write(TEXT.format(f"127.0.0.1:{discovery.getsockname()[1]}"))
+        discovery.settimeout(60)
+        came, _ = discovery.accept()  # the watch is open, and not answered
+        process.send_signal(signal.SIGTERM)
+        _, said = process.communicate(timeout=60)
+        came.close()
+    assert process.returncode == 0 and "listening" not in said
+
+
+# Hand-overs
+
+
+def test_connections_of_one_that_another_replaces_end_with_their_next_answer() -> None:
+    """Its clients find the other process: nothing is kept for them up to SIGKILL."""
+    play("node n0 0\nn0 next hold\nclient a platform\nclient b platform\n", asks("a", 1),
+         "until attempts_written 1\nbeside\nsignal TERM\n", well("b").replace("& well", WELL_CLOSING),
+         "n0 release 1\n", SERVED.format("a"), "a eof\nb eof\nwrites n0 PUT 1\n")  # fmt: skip
+
+
+# Watches
+
+OPEN = "discovery <\n| GET /v1/servers?watch=1&after={} HTTP/1.1\n| Host: {{discovery.address}}\n|\n"
+ANSWER = "discovery >\n| HTTP/1.1 200 OK\n| Connection: close\n|\n"
+
+
+def told(index: int, status: str, whole: str = "false") -> str:
+    entry = '{"name":"n0","address":"{n0.address}","group":0,"status":"' + status + '"}'
+    return f'~ {{"index":{index},"snapshot":{whole},"endpoints":[{entry}]}}\n'
+
+
+def indented(index: int, status: str) -> str:
+    """As json.dumps with indent=2 has it, with braces within a name."""
+    lines = [
+        "{", f'  "index": {index},', '  "snapshot": false,', '  "endpoints": [', "    {",
+        '      "name": "n0",', '      "address": "{n0.address}",', '      "zone": "a}]\\"{",',
+        '      "group": 0,', f'      "status": "{status}"', "    }", "  ]", "}",
+    ]  # fmt: skip
+    return "".join(f"~ {line}\n" for line in lines)
+
+
+BEGIN = (
+    "discovery\nnode n0 0\nclient a platform\n"
+    + OPEN.format(0)
+    + ANSWER
+    + told(1, "ready")
+    + "until discovery_updates 1\n"
+)
+NOTHING_GOES = asks("a", 1) + "until requests_taken 1\nclock 10000000\na <\n& refused\nn0 ran PUT 0\n"
+
+
+def test_an_indented_list_is_a_list() -> None:
+    play(BEGIN, "discovery >\n", indented(2, "draining"), "until discovery_updates 2\n",
+         "counter discovery_breaks 0\n", NOTHING_GOES)  # fmt: skip
+
+
+def test_an_indented_list_in_pieces_is_one_once_its_last_line_came() -> None:
+    lines = indented(2, "draining").splitlines(keepends=True)
+    pieces = [part for line in lines for part in ("discovery >\n", line, well("a"))]
+    play(BEGIN, *pieces, "until discovery_updates 2\ncounter discovery_breaks 0\n", NOTHING_GOES)
+
+
+@pytest.mark.parametrize(
+    "broken", ['~ {"index":2,"snapshot":fal\n', '~ {"index":2,\n~ "snapshot":\n|\n', "~ [1]\n"]
+)
+def test_what_can_t_be_read_is_asked_for_again(broken: str) -> None:
+    """It may have told of a drain, and no later line tells that again."""
+    play(BEGIN, "discovery >\n", broken, "| \n", "until discovery_breaks 1\nclock 100000\ndiscovery fresh\n",
+         OPEN.format(1), ANSWER, told(3, "draining"), "until discovery_updates 2\n",
+         NOTHING_GOES)  # fmt: skip
+
+
+def test_a_drain_told_while_a_connection_comes_up_keeps_the_request_from_it() -> None:
+    play(BEGIN, "dials hold\n", asks("a", 1), "until attempts_sent 1\ndiscovery >\n", told(2, "draining"),
+         "until discovery_updates 2\ndials go\nuntil node_connections_too_late 1\nclock 10000000\n",
+         "a <\n& refused\nn0 ran PUT 0\n")  # fmt: skip
+
+
+def test_a_server_that_goes_while_a_connection_comes_up_gets_nothing() -> None:
+    play(BEGIN, "dials hold\n", asks("a", 1), "until attempts_sent 1\ndiscovery >\n", told(2, "gone"),
+         "until discovery_updates 2\ndials go\nuntil node_connections_too_late 1\nclock 10000000\n",
+         "a <\n& refused\nn0 ran PUT 0\n")  # fmt: skip
+
+
+def test_discovery_back_with_a_drain_while_a_retry_waits_for_that_server() -> None:
+    play(
+        BEGIN, "n0 next full\n", asks("a", 1), "until attempts_full 1\ndiscovery close\n",
+        "until discovery_breaks 1\nclock 100000\ndiscovery fresh\n", OPEN.format(1), ANSWER,
+        told(2, "draining"), "until discovery_updates 2\nclock 2000000\nclock 8000000\n",
+        "a <\n& refused\ncounter attempts_sent 1\n",
+    )  # fmt: skip
+
+
+def test_sighup_while_a_watch_is_being_opened_leaves_it_for_the_new_one() -> None:
+    play("discovery\nnode n0 0\nclient a platform\n", OPEN.format(0), "moves second\nsignal HUP\n",
+         "second <\n| GET /v1/servers?watch=1&after=0 HTTP/1.1\n| Host: {second.address}\n|\n",
+         "discovery eof\nsecond >\n| HTTP/1.1 200 OK\n| Connection: close\n|\n", told(2, "draining"),
+         "until discovery_updates 1\ncounter discovery_breaks 0\n", NOTHING_GOES)  # fmt: skip
+
+
+def test_an_agent_that_says_nothing_is_asked_anew_within_a_second() -> None:
+    """While discovery is down it is silent; what it gets at the return counts at once."""
+    play("discovery\nnode n0 0\nclient a platform\n", OPEN.format(0), "clock 1100000\nclock 100000\n",
+         "discovery fresh\n", OPEN.format(0), ANSWER, told(2, "draining"), "until discovery_updates 1\n",
+         NOTHING_GOES)  # fmt: skip
+
+
+def _watch(ours: bool, fleet: int) -> tuple[Watch, list[int]]:
+    now, waits = [T0], list[int]()
+    wheel = Wheel(lambda: now[0], lambda delay, fn: waits.append(delay), 1000)
+    loop: Any = mock.Mock(create_task=lambda work: work.close())
+    watch = Watch(("127.0.0.1", 1), Listing(0, True, ()), loop, wheel, lambda: now[0], Counters(),
+                  lambda *a, **k: None, lambda listing: None, fleet, ours)  # fmt: skip
+    return watch, waits
+
+
+def test_in_a_large_fleet_an_agent_of_one_s_own_is_not_spared() -> None:
+    """What it has counts as told whether a watch is open or not, and a send may follow for a second."""
+    for fleet in (1, 200):
+        watch, waits = _watch(True, fleet)
+        watch.begin()
+        assert watch.stream is not None and waits[-1] <= 1_001_000  # until a call that hangs is given up
+        waits.clear()
+        watch.stream.end("lost")
+        assert 50_000 <= waits[-1] <= 101_000
+
+
+def test_a_shared_discovery_is_spared_and_a_silent_one_is_opened_in_time() -> None:
+    """6 s after it fell silent what was missed counts: 3 s to notice, and then not over 2.5 s."""
+    waits_seen = []
+    for _ in range(40):
+        watch, waits = _watch(False, 200)
+        watch.open()
+        assert watch.stream is not None
+        watch.stream.answered = True
+        waits.clear()
+        watch.stream.end("silent")
+        waits_seen.append(waits[-1])
+    assert max(waits_seen) <= 2_501_000 and len(set(waits_seen)) > 10
+
+
+def test_nothing_is_taken_before_the_agent_s_list_is_here() -> None:
+    """What it has counts as told from a process's first moment: `known` may be old."""
+
+    async def test() -> None:
+        exchange = Exchange("discovery\nnode n0 0\n")
+        exchange.patches.enter_context(mock.patch("umberlead.front.FIRST_LIST", 60))
+        try:
+            for words, lines in exchange.steps:
+                await exchange._step(words, lines)
+            starting = asyncio.create_task(exchange._start())
+            peer = await exchange.nodes["discovery"].peer()
+            assert exchange.front is not None and not exchange.front.servers
+            while b"\r\n\r\n" not in peer.got:
+                await peer.more("the call")
+            assert not exchange.front.servers
+            peer.transport.write(
+                b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b'{"index":1,"endpoints":[]}\n'
+            )
+            front = await starting
+            assert front.engine.pool() == (0, 0) and len(front.servers) == 2
+        finally:
+            exchange.patches.close()
+            exchange.task.cancel()
+            assert exchange.front is not None
+            exchange.front.end()
+            for server in exchange.servers:
+                server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(test())
+
+
+# Attempts
+
+
+def test_an_interim_answer_begins_nothing() -> None:
+    """An upload took longer than a dial behind it, and was answered as failed."""
+    interim = "n0 >\n| HTTP/1.1 103 Early Hints\n| Link: </x>\n|\n"
+    play("node n0 0:script\nclient a platform\n", "a >\n& write a1 / 0\nn0 <\n& sent a1 / 0\n", interim,
+         well("b").replace("b >", "client b platform\nb >", 1), "clock 400000\n", interim, well("b"),
+         "clock 400000\n",
+         "n0 >\n& done\na <\n& done\ncounter attempts_ok 1\n")  # fmt: skip
+
+
+def test_an_answer_that_breaks_off_behind_an_interim_one_is_an_error() -> None:
+    play("node n0 0:script\nclient a platform\n", "a >\n& write a1 / 0\nn0 <\n& sent a1 / 0\n",
+         "n0 >\n| HTTP/1.1 103 Early Hints\n|\n| HTTP/1.1 200 OK\n| Content-Len\n",
+         well("b").replace("b >", "client b platform\nb >", 1), "clock 400000\na <\n& failed\n")  # fmt: skip
+
+
+def test_an_answer_that_never_ends_is_broken_off_at_the_request_s_time() -> None:
+    """Its client sees that it is not whole, and is not left without an end."""
+    chunk = "n0 >\n| 1000\n" + "@ 0 4096\n|\n"
+    play(
+        "node n0 0:script\nclient a platform\n", "a >\n& odd a1 / 1.0 / units=1,shard=0\nn0 <\n",
+        "| GET {target} HTTP/1.1\n| Host: service.internal\n| X-Call-Id: a1\n| X-Plan: gold\n"
+        "| X-IO: volume=b4,units=1,shard=0\n| X-Budget: {~}\n|\n",
+        "n0 >\n| HTTP/1.1 200 OK\n| Transfer-Encoding: chunked\n|\n", chunk * 17,
+        "a <\n| HTTP/1.1 200 OK\n| Transfer-Encoding: chunked\n|\n", "until node_answers_long 1\n",
+        "clock 500000\ncounter node_answers_broke_off 0\n", chunk,
+        "clock 500000\nuntil node_answers_broke_off 1\n",
+    )  # fmt: skip
+
+
+# Idle connections
+
+
+def test_room_is_not_made_of_a_connection_whose_request_is_here() -> None:
+    """Its bytes came, and were not read yet: another goes, and where there is none, none does."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        now = [T0]
+        clients = Clients(2, lambda: now[0], Counters(), 0, 1 << 20, print)
+        clients.stopping = True  # connections are kept, however many
+        handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        handler.request = lambda conn, _: conn.reply(200, (), b"x")
+        listener = Listener(handler, clients, ("127.0.0.1", 0), loop)
+        came = []
+        for _ in range(2):
+            sock = socket.create_connection(listener.address)
+            sock.setblocking(False)
+            await loop.sock_sendall(sock, b"GET /a HTTP/1.1\r\n\r\n")
+            assert await loop.sock_recv(sock, 1000)
+            came.append(sock)
+        now[0] += 10_000_000
+        first, second = list(clients.slots)
+        came[0].send(b"GET /b HTTP/1.1\r\n\r\n")
+        came[1].send(b"GET /b HTTP/1.1\r\n\r\n")
+        assert not clients.make_room() and not first.evicted and not second.evicted
+        for sock in came:
+            assert (await loop.sock_recv(sock, 1000)).startswith(b"HTTP/1.1 200")
+        now[0] += 10_000_000
+        came[0].send(b"GET /c HTTP/1.1\r\n\r\n")
+        assert clients.make_room() and second.evicted and not first.evicted
+        assert (await loop.sock_recv(came[0], 1000)).startswith(b"HTTP/1.1 200")
+        for sock in came:
+            sock.close()
+        listener.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(test())
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -144,6 +144,9 @@
     text = (ROOT / "deploy/watched.toml").read_text()
     text = text.replace('"watched/servers.list"', '"servers.list"').replace("nShards = 5", "nShards = 2")
     text = text.replace('"127.0.0.1:9000"', '"127.0.0.1:0"').replace('"127.0.0.1:9001"', '"127.0.0.1:0"')
+    # Limits that a slow machine keeps too: a call that fails is then the front's fault, not the machine's.
+    text = re.sub(r"\b(within_ms) = \d+", r"\1 = 50000", text)
+    text = re.sub(r"\b(hardLimit|aim) = \d+", r"\1 = 50000000", text)
     (folder / "front.toml").write_text(text)
     return folder / "front.toml"
 
@@ -152,7 +155,7 @@
     got = CliRunner().invoke(command, ["demo", str(_set_up(tmp_path)), "--seconds", "3", "--rate", "20"])
     assert got.exit_code == 0, got.output
     found = re.search(
-        r"(\d+) objects in, (\d+) read back, 0 not the same; \d+ refused, \d+ failed\n$", got.output
+        r"(\d+) objects in, (\d+) read back, 0 not the same; \d+ refused, 0 failed\n$", got.output
     )
     assert found is not None and int(found[1]) > 2 and int(found[2]) > 2, got.output
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -43,6 +43,9 @@
     def stop(self, attempt: Attempt, why: Result) -> None:
         self.stopped.append((attempt, why))
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        return False
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         says, self.says = self.says, []
         return says
--- a/tests/test_rooms_front.py
+++ b/tests/test_rooms_front.py
@@ -159,6 +159,9 @@
         self.stopped.append(attempt)
         self.loop.soon(lambda: self.end(attempt, why))
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        return False
+
     def end(self, attempt: Attempt, result: Result) -> None:
         self.out.remove(attempt)
         self.engine.ended(attempt, result)
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -10,10 +10,16 @@
     # With io_uring, libuv has the kernel poll a queue that nothing here uses, in a thread counted as ours:
     # 4 s of the core's share in the first seconds of a front.
     os.environ["UV_USE_IO_URING"] = "0"
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the front can reload: the default ends the process
-    from umberlead import config
+    # Until the front can take them: SIGHUP's default ends the process, and one that crosses the reading of
+    # the configuration must not be lost; a SIGTERM finds nothing taken yet.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    from umberlead import config, front
     from umberlead.front import serve
 
+    front.EARLY = early
+
     try:
         serve(config.load())
     except config.ConfigError as fault:
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -263,7 +263,8 @@
             elif isinstance(event, api.ListFailed):
                 self.at(now + INTERVAL, lambda: self.acts.append(api.Follow()))
             elif isinstance(event, api.ClientGone) and event.request in self.items:
-                self.conclude(self.items[event.request])
+                self.conclude(item := self.items[event.request])
+                self.dirty[item.shard] = None  # what it stood before may go
             elif isinstance(event, api.ByHand):
                 self.by_hand(event)
         while self.due and self.due[0][0] <= now:
@@ -282,8 +283,7 @@
         self.at(self.now + INTERVAL, self.step)
 
     def prune(self) -> None:
-        """Forget volumes whose stores have filled again, so that a new one would be the same; one with a
-        limit is not handed a full store early."""
+        """Forget volumes whose stores are full again; one with a limit is not handed a full one early."""
         old = self.now - KEPT - max(c.deadline for c in self.s.classes)
         self.volumes = {k: v for k, v in self.volumes.items() if v.seen > old or v.limit.most < NEVER}
         for lane in self.lanes.values():
@@ -494,8 +494,7 @@
             self.acts.append(api.Send(item.req.request, view.info.node))
 
     def moved(self, item: Item) -> bool:
-        """A client that began its request before the object's write was over may name a shard of old. Where
-        this head stored it itself, it knows better, once the named one had no use for the request."""
+        """A client may name a shard of old. Where this head stored the object itself, it knows better."""
         new, old = self.stored
         key = item.req.key or ""
         shard = new.get(key, old.get(key, item.shard))
@@ -503,9 +502,8 @@
         return known
 
     def overdue(self, item: Item, attempt: int) -> None:
-        """Out much longer than its node takes, while later ones came back: lost, or one enormous request,
-        not the node's trouble. Its units are written off, so they block nothing; with leave and time it is
-        withdrawn, and sent again on its outcome. It can hurt by doubling work that was only long."""
+        """Out much longer than its node takes, while later ones came back: lost, or enormous. Its units are
+        written off, so they block nothing; with leave and time it is withdrawn, and sent again."""
         if (tried := item.out.get(attempt)) is None:
             return
         view: NodeView = tried.view
@@ -525,6 +523,8 @@
         if tried.units or e.result is Result.OK:  # what was written off has been judged
             view.answer(self.now, tried, e.result, e.elapsed, bool(lane and lane.items))
         self.dirty[item.shard] = None
+        if e.result is Result.MOOT and e.final and item.tries == 1 and item.req.volume in self.volumes:
+            self.volumes[item.req.volume].limit.have += item.req.units  # its client left: it was not sent
         if e.result is Result.OK and item.req.shard < 0 and item.req.key is not None:
             self.stored[0][item.req.key] = item.shard
         unsure = e.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -84,6 +84,7 @@
     may_have_run: bool = False
     answered: bool = False
     notes: dict[str, str] = field(default_factory=dict)
+    forsaken: bool = False  # its client left: no further attempt
     taken: int = 0  # when, on the engine's clock
     timer: Timer | None = None
 
@@ -110,6 +111,10 @@
     def stop(self, attempt: Attempt, why: Result) -> None:
         """Give it up; `Engine.ended` is owed all the same."""
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        """Nobody waits for it: unless it is all on its way to the node, it is not sent, ends as `moot`, and
+        that is True."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refused:
@@ -165,6 +170,7 @@
         self._names_since = clock()
         self._open: dict[bytes, Ticket] = {}
         self.active = 0  # requests taken and not answered
+        self.over = False  # the process ends: nothing new is begun
         self.figures = {(kind, c.name): 0 for kind in Kind for c in settings.classes}  # answers
 
     # From the fronts
@@ -183,6 +189,8 @@
         self.counters.add("requests_taken")
         self.active += 1
         reason = self.hooks.taken(ticket) if self.hooks else None
+        if self.over:
+            reason = "the front stops"
         if reason is not None or ask.give_up <= self.clock():
             why = reason if isinstance(reason, Refused) else Refused(reason or "no time left")
             self._answer(ticket, Answer(Kind.REFUSED, retry_after=why.retry_after, reason=why.reason))
@@ -208,14 +216,33 @@
 
     def gone(self, ticket: Ticket) -> None:
         """Its client left: nothing is owed. An attempt that is out runs on: no cancel stops the node's work,
-        and its outcome is news."""
+        and its outcome is news. One that still waits for its connection is not sent any more."""
         if not ticket.answered:
             ticket.answered = True
             self.active -= 1
             self.counters.add("clients_gone")
+            if ticket.out is not None and self.carrier is not None:
+                self.carrier.unwanted(ticket.out)
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
 
+    def forsake(self, ticket: Ticket) -> None:
+        """Its client left, and a front keeps account of what ran: no attempt is begun any more, and the
+        answer comes as soon as it is known what became of one that is out."""
+        if ticket.answered or ticket.forsaken:
+            return
+        ticket.forsaken = True
+        self.counters.add("clients_gone")
+        if ticket.out is None:
+            self._forsaken(ticket)
+            self._post(api.ClientGone(ticket.id))
+        elif self.carrier is not None:
+            self.carrier.unwanted(ticket.out)
+
+    def _forsaken(self, ticket: Ticket) -> None:
+        kind = Kind.REFUSED if self._may_repeat(ticket) else Kind.FAILED
+        self._answer(ticket, Answer(kind, None, 0, ticket.may_have_run, "its client left"))
+
     def listed(self, news: api.NodeList) -> None:
         self._post(news if self.watcher is None else self.watcher.listed(news))
 
@@ -246,6 +273,11 @@
                 self.carrier.stop(out, Result.CANCELLED)
         return count
 
+    def takes_new(self, node: str) -> bool:
+        """Whether the list, as it stands now, lets anything new begin there."""
+        view = self.head.nodes.get(node)
+        return view is not None and view.info.state is api.NodeState.UP and node not in self.head.taken_out
+
     def by_hand(self, node: str, out: bool, at: int) -> None:
         self._post(api.ByHand(node, out, at))
 
@@ -278,6 +310,8 @@
             self.hooks.outcome(ticket, attempt.node, result, elapsed)
         if result is Result.OK and not ticket.answered:
             self._answer(ticket, Answer(Kind.SERVED, reply, may_have_run=True))
+        elif ticket.forsaken and not ticket.answered:
+            self._forsaken(ticket)
         self._post(
             api.Outcome(
                 ticket.id, attempt.node, attempt.number, result, elapsed, ticket.answered, reply.load,
@@ -337,6 +371,7 @@
         ticket.tries += 1
         barred = (
             ticket.answered
+            or ticket.forsaken
             or ticket.out is not None  # never two attempts at once
             or number >= self.settings.max_attempts
             or now >= ticket.ask.give_up
@@ -356,7 +391,8 @@
     # Ends
 
     def finish(self) -> None:
-        """The process ends: what is open is answered with what is known of it."""
+        """The process ends: what is open is answered with what is known of it, what comes is refused."""
+        self.over = True
         for ticket in self.tickets:
             self._last_word(ticket)
 
@@ -373,8 +409,10 @@
         """The module left it open: answered here, for each request taken is owed one answer."""
         if not ticket.answered:
             self.counters.add("answered_for_module")
-            kind = Kind.REFUSED if ticket.out is None and self._may_repeat(ticket) else Kind.FAILED
-            self._answer(ticket, Answer(kind, may_have_run=ticket.may_have_run or ticket.out is not None))
+            out = ticket.out
+            unsent = out is None or (self.carrier is not None and self.carrier.unwanted(out))
+            kind = Kind.REFUSED if unsent and self._may_repeat(ticket) else Kind.FAILED
+            self._answer(ticket, Answer(kind, may_have_run=ticket.may_have_run or not unsent))
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
 
--- a/umberlead/emulator/virtual.py
+++ b/umberlead/emulator/virtual.py
@@ -167,9 +167,15 @@
             out.left = True  # the server sees the end behind the request, which may still be under way
             if out.arrived:
                 self.world.stage.left(self.world.now, out.node, attempt.ticket.ask.payload[0].id)
-        result = why if out.written else Result.NO_LINK
+        result = why if out.written or why is Result.MOOT else Result.NO_LINK
         self.world.loop.soon(lambda: self.engine.ended(attempt, result))
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        if attempt.carried.over or attempt.carried.written:
+            return False
+        self.stop(attempt, Result.MOOT)
+        return True
+
     # The list
 
     def told(self, notice: Notice, at: int) -> None:
--- a/umberlead/expect/world.py
+++ b/umberlead/expect/world.py
@@ -246,6 +246,9 @@
     def stop(self, attempt: Attempt, why: Result) -> None:
         self.loop.soon(lambda: self._end(attempt, why))
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        return False  # what is sent is there at once
+
     # A scenario
 
     _first: dict[str, Server] = {}
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -1,6 +1,7 @@
 """One front: the parts of a process, wired together from its configuration to its last answer."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -31,10 +32,14 @@
 # much of it as is not needed here, connections that stand are served on, and what is open is answered.
 KILL_MOST, KILL_MORE = 3_000_000, 700_000
 SERVING, ANSWERING = 400_000, 200_000
+FIRST_LIST = 0.4  # s a start waits for the list; longer, and discovery is down: the known one must do
 SWEEP = 100_000
 REPORT = 10_000_000  # us between the counters' lines
 
 
+EARLY: list[int] = []  # SIGHUP before a front could take it
+
+
 def module_clock() -> Callable[[], int]:
     """Whole microseconds that only move forward, anchored once to Unix time: discovery's times compare."""
     anchor = time.time_ns() - time.monotonic_ns()
@@ -67,6 +72,7 @@
             conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal", self.log.info,
         )  # fmt: skip
         self.engine.carrier = self.pool
+        self.pool.takes_new = self.engine.takes_new
         self.rooms: Any = None  # what decides by rooms, where the configuration has them
         if conf.rooms is not None:
             from umberlead.rooms.joined import join
@@ -165,13 +171,15 @@
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if EARLY:  # it came once the configuration was read, or while it was
+            self.loop.call_soon(self.reload)
         if conf.lists is not None:
             self.watch_lists(conf.lists)
         self.told(conf.known)
         if conf.discovery is not None:
             self.watch = Watch(
                 conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
-                self.log.warning, self.told, conf.settings.heads,
+                self.log.warning, self.told, conf.settings.heads, not conf.settings.ask_for_nodes,
             )  # fmt: skip
             self.watch.begin()
         ready: list[tuple[Handler, Clients, config.Address]] = []
@@ -202,6 +210,12 @@
             await self.talk(conf.rooms.peers)
         self.look()
         self.limit()
+        if self.watch is not None and self.watch.ours:
+            # What the agent has counts as told from a process's first moment, and `known` may be old.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.watch.first.wait(), FIRST_LIST)
+        if self.told_to_stop:  # before anything was taken
+            return
         for handler, group, address in ready:
             self.listen(handler, group, address)
         self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, descriptors=conf.sockets)
@@ -292,6 +306,8 @@
 
     def finish(self) -> None:
         """Nobody waits for us any longer: what is still open is answered now."""
+        for clients in self.groups:
+            clients.finish()
         self.engine.finish()
         self.wheel.after(SWEEP, self.done.set)  # clients that never read or leave
 
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -97,6 +97,8 @@
     query: dict[str, str]
     plan: str = ""
     give_up: int = 0
+    open: set[Ticket] = field(default_factory=set)  # of blocks that are asked for or written now
+    left: bool = False  # its client did
 
     def header(self, name: bytes) -> str:
         return self.message.headers.get(name, b"").decode("latin-1").strip()
@@ -137,6 +139,7 @@
         self.body_most = conf.max_part
         self.count = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.writes: dict[Any, Call] = {}  # by task: what must not be cut off in the middle
 
     # Handler
 
@@ -149,12 +152,18 @@
         task = asyncio.get_running_loop().create_task(self._serve(conn, message, f"{self.count:016x}"))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        conn.context = task if message.method in (b"GET", b"HEAD") else None
+        conn.context = task
 
     def gone(self, conn: ServerConnection) -> None:
-        """A read ends with its client. A write runs on, so that the ledger knows how it ended."""
+        """A read ends with its client. Of a write nothing more is begun; what is out runs on, so that the
+        ledger knows how it ended."""
         task, conn.context = conn.context, None
-        if task is not None:
+        call = self.writes.get(task)
+        if call is not None:
+            call.left = True
+            for ticket in list(call.open):
+                self.engine.forsake(ticket)
+        elif task is not None:
             task.cancel()
 
     def bad(self, conn: ServerConnection, status: int, why: str) -> None:
@@ -166,6 +175,8 @@
         conn.status = conn.length = 0
         try:
             call = self._call(conn, message, request)
+            if message.method not in (b"GET", b"HEAD"):
+                self.writes[asyncio.current_task()] = call
             await self._route(call)(call)
         except S3Error as fault:
             self.engine.counters.add(f"objects_error_{fault.code}")
@@ -177,6 +188,7 @@
             if conn.open is message:
                 self._error(conn, message, S3Error("InternalError", "the front failed"), request)
         finally:  # status 0: the client left first
+            self.writes.pop(asyncio.current_task(), None)
             took = (self.engine.clock() - message.received) / 1000
             path, method = message.split()[0].decode("latin-1"), message.method.decode()
             self.log.info(
@@ -262,6 +274,8 @@
 
     async def _ask(self, call: Call, op: Operation, block: str, body: bytes | None, give_up: int) -> Answer:
         """One chunk server request; a body makes it a write."""
+        if call.left:
+            return Answer(Kind.REFUSED, reason="its client left")
         ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         cls = self.engine.classes[op.class_name]
         volume = digest("volume", call.bucket)
@@ -285,11 +299,14 @@
         until = min(give_up, self.engine.clock() + cls.deadline)
         ask = Ask(op.class_name, call.plan, volume, block, shard, units, until, out, hosts)
         ticket: Ticket = self.engine.take(ask, lambda answer: settle(ended, answer))
+        call.open.add(ticket)
         try:
             return await ended
         except asyncio.CancelledError:
             self.engine.gone(ticket)
             raise
+        finally:
+            call.open.discard(ticket)
 
     async def _read(self, call: Call, op: Operation, block: str, give_up: int) -> Reply:
         answer = await self._ask(call, op, block, None, give_up)
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -70,6 +70,7 @@
         self.timer: Timer | None = None
         self.slot = -1
         self.idle_since = 0  # 0 before its first answer
+        self.until = 0  # by when a long answer must be through
         self.heard = self._first = 0  # when the latest of an answer came, and the first of it
         self.closed = self.over = False
         self.fault = ""  # why no connection came up
@@ -79,6 +80,7 @@
         self._poll: select.poll | None = None
         self.sink: Sink | None = None  # the long answer's
         self._held = False  # its reader has enough for now
+        self._held_since = 0
         self._reset_answer()
 
     def _reset_answer(self) -> None:
@@ -88,7 +90,7 @@
         self.body: list[bytes] = []
         self.size = self.head_size = 0
         self.length: int | None = None
-        self.framed = self.head_done = self.whole = self.keep = self.surplus = False
+        self.framed = self.head_done = self.whole = self.keep = self.surplus = self.begun = False
 
     # asyncio
 
@@ -103,6 +105,9 @@
             self.timer.cancel()
             self.timer = None
         self.pool.counters.add("node_connections_opened")
+        if self.attempt is not None and not self.pool.takes_new(self.attempt.node):
+            self.pool.counters.add("node_connections_too_late")  # it drains, or went, while this came up
+            return self.give_up(Result.MOOT)
         self._write()
 
     def quiet(self) -> bool:
@@ -113,6 +118,10 @@
             self._poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not self._poll.poll(0)
 
+    def idle(self) -> bool:
+        """Not on its way to its end: of that the protocol is told a turn later."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def _write(self) -> None:
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
@@ -150,7 +159,7 @@
                 self.pool.counters.add("node_answers_surplus")
             self.close()  # nobody asked: the connection is of no further use
             return
-        begun, self.heard = self.head_size > 0, self.pool.clock()
+        begun, self.begun, self.heard = self.begun, True, self.pool.clock()
         if not begun:
             self._first = self.heard
         if not self.head_done:
@@ -169,7 +178,7 @@
             self._answered(self.keep)
         elif not self.head_done and self.head_size > self.pool.head_most:
             self._spoilt("head_too_large")
-        elif not begun and not self.closed:
+        elif self.begun and self.timer is None and not self.closed:
             self.timer = self.pool.wheel.after(self.pool.link_timeout, self._stalled)
 
     def eof_received(self) -> bool:
@@ -197,6 +206,8 @@
 
     def on_message_begin(self) -> None:
         self.surplus |= self.whole
+        if not self.begun:  # behind an interim answer
+            self.begun, self._first = True, self.heard
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole or self.head_done:  # of what is none of ours, or a trailer
@@ -249,6 +260,10 @@
         elif status < 200:
             self.pool.held -= self.size
             self.headers, self.body, self.size, self.head_done = {}, [], 0, False
+            self.begun = False  # the answer itself may be long in coming: the request's time bounds that
+            if self.timer is not None:
+                self.timer.cancel()
+                self.timer = None
         else:
             self.keep = self.parser.should_keep_alive()
             self.whole = True  # what comes behind it is looked at, and never reaches the next answer
@@ -292,7 +307,8 @@
         if self.sink is None:
             self.close()  # its client has left
         else:
-            self.timer = self.pool.wheel.after(STILL, self._still)
+            self.until = attempt.give_up
+            self.timer = self.pool.wheel.at(min(self.pool.clock() + STILL, self.until), self._still)
 
     def _pass_on(self, data: bytes) -> None:
         self.heard = self.pool.clock()
@@ -327,22 +343,25 @@
             sink.broke()
 
     def _still(self) -> None:
-        """A node that stopped in the middle. Of a client that stands still its own connection tells."""
-        since = self.pool.clock() if self._held else self.heard
-        if since + STILL <= self.pool.clock():
+        """A node that stopped in the middle, or goes on past the request's time: one whose answer never ends
+        would leave its client without any. Of a client that stands still its own connection tells."""
+        now = self.pool.clock()
+        until = now + STILL if self._held else min(self.heard + STILL, self.until)
+        if until <= now:
             self._break()
         else:
-            self.timer = self.pool.wheel.at(since + STILL, self._still)
+            self.timer = self.pool.wheel.at(until, self._still)
 
     def hold(self, stop: bool) -> None:
         """Its reader has enough for now, or reads on."""
         if self.transport is None or self.transport.is_closing():
             return
         if stop and not self._held:
-            self._held = True
+            self._held, self._held_since = True, self.pool.clock()
             self.transport.pause_reading()
         elif not stop and self._held:
             self._held, self.heard = False, self.pool.clock()
+            self.until += self.heard - self._held_since  # its reader's time, not the node's
             self.transport.resume_reading()
 
     def abandon(self) -> None:
@@ -388,13 +407,15 @@
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             if self.why is not None:
-                result = self.why if self.written else Result.NO_LINK
+                result = self.why if self.written or self.why is Result.MOOT else Result.NO_LINK
             if result is Result.NO_LINK and self.why is None and self.broke and not attempt.again:
                 # Dropped before the request was on it: nothing was sent, and the node itself may be well.
                 self.pool.counters.add("node_connections_broke_early")
                 attempt.again = True
                 if self.pool.live is not None and self.address not in self.pool.live:
                     return self.pool.engine.ended(attempt, Result.NO_LINK)  # it has left the list meanwhile
+                if not self.pool.takes_new(attempt.node):
+                    return self.pool.engine.ended(attempt, Result.MOOT)
                 return self.pool.dial(attempt, self.address)
             if result is Result.NO_LINK and self.ours:
                 result = Result.MOOT  # the node has no part in it
@@ -485,6 +506,7 @@
         self.live: dict[Address, int] | None = None  # where connections may be kept, and for how many nodes;
         # None: anywhere
         self.idle: dict[Address, list[NodeConnection]] = {}
+        self.takes_new: Callable[[str], bool] = lambda node: True  # by the list as it stands
         self.risk = 0.0
         self.slots: Slots[NodeConnection] = Slots()
         self.memory, self.held = BODY_MOST, 0  # of answers that are being read
@@ -530,7 +552,7 @@
             conn = resting[at]
             if conn.idle_since <= rested:
                 del resting[at]
-                if not conn.closed and conn.quiet():
+                if not conn.closed and conn.idle() and conn.quiet():
                     return conn
                 conn.close()
         return None
@@ -556,6 +578,14 @@
     def stop(self, attempt: Attempt, why: Result) -> None:
         attempt.carried.give_up(why)
 
+    def unwanted(self, attempt: Attempt) -> bool:
+        conn = attempt.carried
+        if conn is None or conn.attempt is not attempt or conn.written:
+            return False
+        self.counters.add("attempts_unwanted")
+        conn.give_up(Result.MOOT)
+        return True
+
     def rest(self, conn: NodeConnection) -> None:
         if self.live is not None and conn.address not in self.live:
             conn.close()
--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -12,7 +13,12 @@
 from umberlead.core.wheel import Timer, Wheel
 from umberlead.recovery.backoff import Backoff
 
-SILENCE = 5_000_000  # us without even an empty line, of which one comes every 2 s
+SILENCE = 3_000_000  # us without even an empty line, of which one comes every 2 s
+UNANSWERED = 1_000_000  # us an agent on this machine may take over a call's first word: it answers at once
+SPREAD = (
+    2_500_000  # us over which a fleet opens watches anew that fell silent: what they miss counts after 6 s
+)
+STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"')
 LINE_MOST = 4 << 20
 
 
@@ -21,8 +27,11 @@
         self.watch = watch
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.buffer = b""
+        self.buffer = b""  # a line that has not ended yet
+        self.lines: list[bytes] = []  # of an object that has not ended yet: lists may come indented
+        self.depth = self.size = 0  # of its braces, and its bytes
         self.status = 0
+        self.answered = False
         self.asked = 0  # us of a Retry-After
         self._name = b""
         self.dead = False
@@ -40,6 +49,7 @@
         if self.dead:
             return
         self.watch.heard()
+        self.answered = True
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -60,11 +70,29 @@
             return
         *lines, self.buffer = (self.buffer + body).split(b"\n")
         for line in lines:
-            if line.strip():
-                self.watch.line(line)
-        if len(self.buffer) > LINE_MOST:
+            self._line(line)
+            if self.dead:
+                return
+        if self.size + len(self.buffer) > LINE_MOST:
             self.end("line too long")
 
+    def _line(self, line: bytes) -> None:
+        """An object ends with the line that closes its last brace. One that is no object, or that breaks off,
+        may have told of a drain that no later line tells again: it is asked for anew."""
+        if not line.strip():
+            if self.depth:
+                self.end("malformed")  # the empty line of a quiet list, in the middle of an object
+            return
+        bare = STRINGS.sub(b"", line)
+        self.depth += bare.count(b"{") - bare.count(b"}")
+        self.lines.append(line)
+        self.size += len(line)
+        if self.depth > 0:
+            return
+        whole, self.lines, self.depth, self.size = b"\n".join(self.lines), [], 0, 0
+        if not self.watch.line(whole):
+            self.end("malformed")
+
     def on_message_complete(self) -> None:
         self.end("ended")
 
@@ -93,19 +121,23 @@
         log: Callable[..., Any],
         told: Callable[[Listing], None],
         fleet: int = 1,
+        ours: bool = False,
     ) -> None:
+        """`ours`: an agent on this machine answers, at once and at no cost; else one service for the whole
+        fleet of fronts."""
         self.address, self.index, self.told = address, known.index, told
         self.loop, self.wheel, self.clock, self.counters, self.log = loop, wheel, clock, counters, log
         self.stream: _Stream | None = None
         self.task: asyncio.Task[None] | None = None
         self.again: Timer | None = None  # the next try after a break
-        self.backoff = Backoff(fleet)
+        self.backoff, self.ours = Backoff(fleet), ours
+        self.first = asyncio.Event()  # anything was heard of it
         self.last = 0
         self.closed = False
 
     def begin(self) -> None:
         """The first call of this process."""
-        wait = self.backoff.start()
+        wait = 0 if self.ours else self.backoff.start()
         if wait:
             self.again = self.wheel.after(wait, self.open)
         else:
@@ -117,7 +149,12 @@
         self.last = self.clock()
         stream = self.stream = _Stream(self)
         self.task = self.loop.create_task(self._dial(stream))
-        self.wheel.after(SILENCE, self._check, stream)
+        self.wheel.after(self._patience(stream), self._check, stream)
+
+    def _patience(self, stream: _Stream) -> int:
+        """While discovery is down an agent says nothing. What it gets at the return counts as told at once:
+        a call that hangs must not stand in the way of the next."""
+        return UNANSWERED if self.ours and not stream.answered else SILENCE
 
     async def _dial(self, stream: _Stream) -> None:
         try:
@@ -129,29 +166,33 @@
         """A cut-off discovery says nothing at all: silence is the only sign."""
         if stream.dead:
             return
-        if self.clock() - self.last >= SILENCE:
+        patience = self._patience(stream)
+        if self.clock() - self.last >= patience:
             if self.task is not None:
                 self.task.cancel()
             stream.end("silent")
         else:
-            self.wheel.at(self.last + SILENCE, self._check, stream)
+            self.wheel.at(self.last + patience, self._check, stream)
 
     def heard(self) -> None:
         """Anything at all counts against silence; only a list resets the back-off (see `line`)."""
         self.last = self.clock()
 
-    def line(self, line: bytes) -> None:
+    def line(self, line: bytes) -> bool:
+        """False where it can't be read as a list."""
         try:
             listing = listing_of(json.loads(line), bad=self._malformed)
-        except ValueError as fault:  # a ConfigError too
+        except (ValueError, RecursionError) as fault:  # a ConfigError too
             self._malformed(fault)
-            return
+            return False
+        self.first.set()
         self.counters.add("discovery_updates")
         self.backoff.worked()
         self.index = listing.index
         self.told(listing)
+        return True
 
-    def _malformed(self, fault: ValueError) -> None:
+    def _malformed(self, fault: Exception) -> None:
         """One odd entry must not hide that another drains."""
         self.counters.add("discovery_entries_malformed")
         self.log("discovery_malformed", why=str(fault))
@@ -160,7 +201,14 @@
         if not self.closed and stream is self.stream:  # one that was left opens no second watch
             self.counters.add("discovery_breaks")
             self.log("discovery_broken", why=why, status=stream.status)
-            self.again = self.wheel.after(self.backoff.next(stream.asked), self.open)
+            no = stream.status not in (0, 200)
+            if self.ours and not no:
+                wait = self.backoff.alone(stream.asked)
+            else:
+                wait = self.backoff.next(stream.asked)
+                if why == "silent" and stream.answered:  # not a service that is overbooked
+                    wait = min(wait, SPREAD)
+            self.again = self.wheel.after(wait, self.open)
 
     def move(self, address: Address) -> None:
         """Watch there from now on, not once the old address ends. Versions are the old service's, so the new
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import fcntl
 import re
+import select
 import socket
 import sys
 import termios
@@ -28,6 +29,7 @@
 PLENTY = 0.5  # part of the places that connections may take before new ones end with their first answer
 SPARE_TIME = 2_000_000  # us an idle connection stands where places are short
 GRACE = 100_000  # us a new connection is safe from giving its place up: its request may be on the way
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer ended its sending, closed or reset
 LENGTH = re.compile(rb"[0-9]{1,15}")
 # One value each: two could be read one way here and another way behind us.
 SINGLE = frozenset((b"content-length", b"transfer-encoding", b"host", b"expect"))
@@ -109,6 +111,7 @@
         self.stopping = False  # those that stand are served on
         self.leaving = False  # another process takes over: connections end with their next answer
         self.draining = False  # and those without a request now
+        self.over = False  # the process ends: what comes from now on is refused unread
 
     def sweep(self) -> None:
         """Close what has stood too long: lingering, half sent, silent, or idle; when most places are taken
@@ -121,7 +124,10 @@
         if len(self.slots) > self.most // 2:
             idle = min(idle, SPARE_TIME)
         for conn in self.slots:
-            if conn.unread:
+            if conn.deaf() and conn.coming() & LEFT:
+                conn.leave()
+                conn.transport.abort()
+            elif conn.unread:
                 if conn.stuck(now):
                     conn.transport.abort()
             elif conn.since + conn.patience(idle) <= now:
@@ -142,6 +148,13 @@
         for conn in self.slots:
             conn.close_if_idle()
 
+    def finish(self) -> None:
+        """Nothing is served any more: what comes is refused at once, also what is half read, and what waits
+        behind an answer gets a refusal of its own."""
+        self.over = self.leaving = True
+        for conn in self.slots:
+            conn.cut_short()
+
     def make_room(self) -> bool:
         """At the cap one connection without an open request goes: one that ends anyway, else one that has
         sent nothing in its grace, else the one idle for longest: its client opens another when it needs one.
@@ -150,14 +163,17 @@
             return True
         old = self.clock() - GRACE
         free = [c for c in self.slots if c.spare(old)]
-        if not free:
-            return False
-        victim = min(free, key=lambda c: (not c.ended, c.served > 0, c.since))
-        self.counters.add("clients_evicted")
-        victim.ended = victim.evicted = True
-        self.going += 1
-        victim.transport.abort()
-        return True
+        # One that is half read goes last: its end may be on the way, and then it is a request taken and lost.
+        free.sort(key=lambda c: (c.message is not None, not c.ended, c.served > 0, c.since))
+        for victim in free:
+            if victim.arriving():
+                continue  # a request is here that was not read yet
+            self.counters.add("clients_evicted")
+            victim.ended = victim.evicted = True
+            self.going += 1
+            victim.transport.abort()
+            return True
+        return False
 
 
 class Listener:
@@ -257,6 +273,11 @@
         self.closing = False  # closes after the answer
         self.served = 0  # requests answered
         self.lost = self.evicted = False
+        self.left = False  # the client ended its sending, closed or reset: nothing is owed
+        self._ahead, self._ahead_size = deque[bytes](), 0  # read, not parsed: it came before its turn
+        self._feeding = False
+        self._bad: tuple[int, str, bytes] | None = None  # told once what came before it is answered
+        self._poll: select.poll | None = None
         self.since = 0  # when its present state began
         self.context: Any = None  # the handler's own
         self.turned_away = b""  # the target of what was refused unread
@@ -288,7 +309,15 @@
         self.clients.slots.free(self.slot)
         self.clients.going -= self.evicted
         self.resume_writing()
+        self.leave()
+
+    def leave(self) -> None:
+        """The client ended its sending, closed or reset: what is open and what waits behind it go at once."""
+        if self.left:
+            return
+        self.left = self.ended = True
         self._unhold(self.message)
+        self.message = self._bad = None
         self._drop_waiting()
         if self.source is not None:
             self.source.abandon()
@@ -299,25 +328,57 @@
             self.handler.gone(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.ended:
+        if self.ended or self._bad is not None:
             # Read on for a moment, so that the answer is not lost to a reset; but not 60 MB of it.
             self._spill += len(data)
             if self._spill > self.clients.head_most and not self.lost:
                 self.transport.pause_reading()
             return
+        if self.waiting or self._ahead:
+            # Read on, or a client that leaves goes unseen; past a head's size `sweep` looks for that.
+            self._ahead.append(data)
+            self._ahead_size += len(data)
+            self.clients.held += len(data)
+            if self._ahead_size > self.clients.head_most:
+                self.transport.pause_reading()
+            return
+        self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
         if self._in_head or self.message is None:
             self._head += len(data)
+        self._feeding = True
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self.ended:
+            if not self.ended and self._bad is None:
                 self.refuse(400, "this is not HTTP/1.1 as it is spoken here")
             return
-        if self._in_head and not self.ended and self._head > self.clients.head_most:
+        finally:
+            self._feeding = False
+        if self._in_head and not self.ended and self._bad is None and self._head > self.clients.head_most:
             self.refuse(431, f"a head may have {self.clients.head_most} bytes")
 
+    def _catch_up(self) -> None:
+        """What came ahead has its turn. Never from within the parser, which is not entered twice."""
+        if self._feeding:
+            return
+        while self._ahead and not (self.waiting or self.ended or self.lost or self._bad is not None):
+            data = self._ahead.popleft()  # as it was read: more at once could be too many requests
+            self._ahead_size -= len(data)
+            self.clients.held -= len(data)
+            self._feed(data)
+        if not (self.waiting or self._ahead or self.ended or self.lost or self.transport.is_reading()):
+            self.transport.resume_reading()
+
+    def _drop_ahead(self) -> None:
+        self.clients.held -= self._ahead_size
+        self._ahead.clear()
+        self._ahead_size = 0
+
     def eof_received(self) -> bool:
-        return False  # a client that ends its sending counts as gone, as one that closes does
+        self.leave()  # a client that ends its sending counts as gone, as one that closes does
+        return False
 
     def pause_writing(self) -> None:
         self.unread, self._unread = True, self.transport.get_write_buffer_size()
@@ -333,6 +394,7 @@
             self.source.hold(False)
         self._wake()
         self._next()
+        self._catch_up()
 
     def _wake(self) -> None:
         if self._writable is not None and not self._writable.done():
@@ -348,7 +410,7 @@
     # httptools
 
     def on_message_begin(self) -> None:
-        if self.ended:
+        if self.ended or self._bad is not None:
             raise Stopped
         self.message, self._body, self._size, self._in_head = Message(), b"", 0, True
         self._lines, self._twice = 0, b""
@@ -449,9 +511,17 @@
                 self._drop_waiting()
                 self.refuse(503, "too many connections", target)
                 return
+            if self.coming() & LEFT:  # it left while this was not read, or not its turn
+                self.leave()
+                self.transport.abort()
+                return
             message = self.open = self.waiting.popleft()
-            if not message.keep_alive or self.clients.leaving:
+            if not message.keep_alive:
                 self.closing = True
+            if self.clients.over:
+                self.turned_away = message.target
+                self.handler.bad(self, 503, "the front stops")
+                return
             try:
                 self.handler.request(self, message)
             except Exception as fault:  # the parser would pass it off as the client's mistake
@@ -459,8 +529,8 @@
                 self.clients.log("request_broke", why=repr(fault))
                 if self.open is message:
                     self.reply(500, (), b"the front failed\n")
-        if self.waiting:
-            self.transport.pause_reading()
+        elif self._bad is not None and self.open is None and not (self.waiting or self.unread or self.lost):
+            self._say_bad()
 
     def _unhold(self, message: Message | None) -> None:
         if message is not None and message is self.message:
@@ -473,19 +543,33 @@
     def _drop_waiting(self) -> None:
         while self.waiting:  # each gives its memory back: dropped with a bare clear, it stayed counted
             self._unhold(self.waiting.popleft())
+        self._drop_ahead()
+
+    def _more(self) -> bool:
+        """Whether the client has sent, or begun to send, what is not its turn yet: that is answered too."""
+        return bool(self.waiting or self._ahead or self.message is not None or self._bad is not None)
 
     def refuse(self, status: int, why: str, target: bytes = b"") -> None:
         """What can't be read is answered, and the connection ends with that."""
-        self.turned_away = self.message.target if self.message is not None else target
+        told = self.message.target if self.message is not None else target
         self._unhold(self.message)
-        self.message, self.ended, self.closing = None, True, True
+        self.message, self._bad = None, (status, why, told)
         self.clients.counters.add(f"bad_requests_{status}")
-        if self.open is None and not self.lost:
-            self.handler.bad(self, status, why)
+        if self.open is None and not (self.waiting or self.lost):
+            self._say_bad()
+
+    def _say_bad(self) -> None:
+        """The last answer of this connection, once those before it are given: they were whole requests."""
+        assert self._bad is not None
+        (status, why, self.turned_away), self._bad = self._bad, None
+        self._drop_waiting()
+        self.ended = self.closing = True
+        self.handler.bad(self, status, why)
 
     def head(self, status: int, headers: Iterable[bytes], length: int | None) -> list[bytes]:
         """The pieces of an answer's head."""
-        self.closing |= not self.served and self.clients.plenty()
+        if not self._more() and (self.clients.leaving or (not self.served and self.clients.plenty())):
+            self.closing = True
         self.status, self.length = status, length or 0
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
         if self.handler.dated:
@@ -493,12 +577,12 @@
         parts += [h + b"\r\n" for h in headers]
         if length is not None:
             parts.append(b"Content-Length: %d\r\n" % length)
-        parts.append(b"Connection: close\r\n\r\n" if self.closing or self.clients.leaving else b"\r\n")
+        parts.append(b"Connection: close\r\n\r\n" if self.closing else b"\r\n")
         return parts
 
     def reply(self, status: int, headers: Iterable[bytes], body: bytes, length: int | None = None) -> None:
         """A whole answer to the open request. `length` stands in for the body's where none is sent."""
-        if self.lost:
+        if self.lost or self.left:
             return
         size = len(body) if length is None else length
         parts = self.head(status, headers, None if status in (204, 304) else size)
@@ -547,17 +631,16 @@
         self.open = None
         self.served += 1
         self.since = self.clients.clock()
-        if self.lost:
+        if self.lost or self.left:
             return
-        if self.closing or self.clients.leaving:
+        if self.closing or (self.clients.leaving and not self._more()):
             self.ended = True
             self._drop_waiting()
             if self.transport.can_write_eof():
                 self.transport.write_eof()
             return
         self._next()
-        if not self.waiting and not self.transport.is_reading():
-            self.transport.resume_reading()
+        self._catch_up()
 
     # States
 
@@ -579,11 +662,38 @@
         calm = self.open is None and not (self.waiting or self.unread) and (self.ended or self.since <= old)
         return calm and not self.transport.is_closing()
 
+    def coming(self) -> int:
+        """What the system holds of this connection that was not read yet, in poll's words."""
+        if self._poll is None:
+            sock = self.transport.get_extra_info("socket")
+            fd = sock.fileno() if sock is not None else -1
+            if not isinstance(fd, int) or fd < 0:
+                return 0
+            self._poll = select.poll()
+            self._poll.register(fd, select.POLLIN | select.POLLRDHUP)
+        return 0 if self.transport.is_closing() else sum(told for _, told in self._poll.poll(0))
+
+    def arriving(self) -> bool:
+        """A request is here, or its begin, that was not read yet: closed on, it would be lost."""
+        told = self.coming()
+        return bool(told & select.POLLIN) and not told & LEFT
+
+    def deaf(self) -> bool:
+        """Reading is paused, so a client that leaves goes unseen."""
+        return not self.left and not self.transport.is_closing() and not self.transport.is_reading()
+
     def close_if_idle(self) -> None:
-        if self.idle():
+        if self.idle() and not self.arriving():
             self.ended = True
             self.transport.close()
 
+    def cut_short(self) -> None:
+        """The process ends: what is half read is refused, its end won't be served."""
+        if self.message is not None and self.open is None and not self.ended:
+            self.refuse(503, "the front stops")
+        else:
+            self.close_if_idle()
+
     def patience(self, idle: int) -> int:
         if self.open is not None:
             return 1 << 62
@@ -599,5 +709,5 @@
     def expire(self) -> None:
         if self.message is not None and not self.ended:
             self.refuse(408, "the request did not come whole in time")
-        else:
+        elif self.ended or not self.arriving():
             self.transport.abort()  # a plain close waits for a client that may never read
--- a/umberlead/recovery/backoff.py
+++ b/umberlead/recovery/backoff.py
@@ -38,6 +38,11 @@
         self.refused += 1
         return max(drawn, min(asked, ASKED_MOST))
 
+    def alone(self, asked: int = 0) -> int:
+        """Us until the next call at a service of this member's own: nobody else is held up by it."""
+        drawn = int(FIRST * (0.5 + 0.5 * self.chance.random()))
+        return max(drawn, min(asked, ASKED_MOST))
+
     def start(self) -> int:
         """Us until a new process's first call: a release starts much of a fleet at once. A small one
         need not wait."""
