Learn whether an agent or a queue answers for lists, and spare the queue the fleet's calls

On the much larger fleet lists are pushed too, yet a service that takes some 7 calls a second answers in turn and says no after 2 s (docs/vast-fleet.md); calls given up after 1 s would hold it down for good, as seen there before.

Change: net/discovery.py takes an answer within 60 ms, or silence without a word for 2.5 s, for an agent's, and a no for a service's, whose calls wait 5 s and are spread as before.

--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -15,6 +15,9 @@
 
 SILENCE = 3_000_000  # us without even an empty line, of which one comes every 2 s
 UNANSWERED = 1_000_000  # us an agent on this machine may take over a call's first word: it answers at once
+UNSURE = 2_500_000  # us the same, where it may be a service that answers in turn, or says no, after 2 s
+WAITING = 5_000_000  # us a service that answers in turn may take over it
+QUICK = 60_000  # us in which only an agent answers: the service was seen to take seven calls a second
 SPREAD = (
     2_500_000  # us over which a fleet opens watches anew that fell silent: what they miss counts after 6 s
 )
@@ -31,7 +34,8 @@
         self.lines: list[bytes] = []  # of an object that has not ended yet: lists may come indented
         self.depth = self.size = 0  # of its braces, and its bytes
         self.status = 0
-        self.answered = False
+        self.answered = self.quick = False
+        self.called = 0
         self.asked = 0  # us of a Retry-After
         self._name = b""
         self.dead = False
@@ -43,13 +47,15 @@
             return
         target = b"/v1/servers?watch=1&after=%d" % self.watch.index
         host = b"%s:%d" % (self.watch.address[0].encode(), self.watch.address[1])
+        self.called = self.watch.clock()
         self.transport.writelines([b"GET ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n\r\n"])
 
     def data_received(self, data: bytes) -> None:
         if self.dead:
             return
         self.watch.heard()
-        self.answered = True
+        if not self.answered:
+            self.answered, self.quick = True, self.watch.clock() - self.called <= QUICK
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -64,6 +70,10 @@
 
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
+        if self.status != 200:
+            self.watch.agent = False
+        elif self.quick and self.watch.agent is None:
+            self.watch.agent = True
 
     def on_body(self, body: bytes) -> None:
         if self.status != 200 or self.dead:
@@ -123,15 +133,17 @@
         fleet: int = 1,
         ours: bool = False,
     ) -> None:
-        """`ours`: an agent on this machine answers, at once and at no cost; else one service for the whole
-        fleet of fronts."""
+        """`ours`: lists are pushed, so it should be an agent on this machine that answers, at once and at no
+        cost; else it is one service for the whole fleet. Pushed lists were met behind such a service too, so
+        it is learnt from how it answers."""
         self.address, self.index, self.told = address, known.index, told
         self.loop, self.wheel, self.clock, self.counters, self.log = loop, wheel, clock, counters, log
         self.stream: _Stream | None = None
         self.task: asyncio.Task[None] | None = None
         self.again: Timer | None = None  # the next try after a break
         self.backoff, self.ours = Backoff(fleet), ours
-        self.first = asyncio.Event()  # anything was heard of it
+        self.agent: bool | None = None if ours else False  # not known yet
+        self.first = asyncio.Event()  # a list came
         self.last = 0
         self.closed = False
 
@@ -153,8 +165,10 @@
 
     def _patience(self, stream: _Stream) -> int:
         """While discovery is down an agent says nothing. What it gets at the return counts as told at once:
-        a call that hangs must not stand in the way of the next."""
-        return UNANSWERED if self.ours and not stream.answered else SILENCE
+        a call that hangs must not stand in the way of the next. A service that is overbooked has it wait."""
+        if stream.answered:
+            return SILENCE
+        return UNANSWERED if self.agent else WAITING if self.agent is False else UNSURE
 
     async def _dial(self, stream: _Stream) -> None:
         try:
@@ -201,8 +215,9 @@
         if not self.closed and stream is self.stream:  # one that was left opens no second watch
             self.counters.add("discovery_breaks")
             self.log("discovery_broken", why=why, status=stream.status)
-            no = stream.status not in (0, 200)
-            if self.ours and not no:
+            if why == "silent" and not stream.answered and self.agent is None:
+                self.agent = True  # no word at all, where a service would have said no
+            if self.agent:
                 wait = self.backoff.alone(stream.asked)
             else:
                 wait = self.backoff.next(stream.asked)
