Bound what clients send ahead by memory, refuse what is half read behind another at the end

Change: net/http.py data_received drops what is ahead beyond that memory with a refusal behind the answers owed; finished() cuts short once the process ends.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -16,6 +16,7 @@
     NAME release N         a storing chunk server answers N requests that it holds, the oldest first
     dials hold, dials go   connections to chunk servers wait to be made; they are made
     started NAME           the chunk server counts as just started
+    memory N               clients of the platform front may have N bytes held for them
     beside                 another process of this front stands beside it
     lastword               the process's end is due: what is open is answered
     clock US               the front's clock moves on by so many us, and what is due then is done
@@ -278,6 +279,8 @@
             case ["dials", word]:
                 await self._start()
                 self.gate.open.clear() if word == "hold" else self.gate.open.set()
+            case ["memory", number]:
+                (await self._start()).groups[0].memory = int(number)
             case ["beside"]:
                 front = await self._start()
                 self.patches.enter_context(mock.patch.object(front.shared, "others", lambda: 1))
--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -19,6 +19,8 @@
     ("shutdown: SIGTERM during a start ends it with a signal", MAIN, "    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))\n", ""),
     ("shutdown: SIGHUP during a start is lost", FRONT, "        if EARLY:", "        if False:"),
     ("shutdown: requests sent ahead are dropped", HTTP, "if not self._more() and (self.clients.leaving", "if (self.clients.leaving"),
+    ("shutdown: what is half read behind another is left open", HTTP, "        if self.clients.over:\n            self.cut_short()\n", ""),
+    ("bad clients: what is sent ahead has no bound", HTTP, "            if self.clients.held > self.clients.memory:\n                self.clients.counters.add(\"bodies_over_memory\")\n                self._drop_ahead()", "            if False:\n                self._drop_ahead()"),
     ("idle closing: a request that is here goes with its connection", HTTP, "if self.idle() and not self.arriving():", "if self.idle():"),
     ("idle closing: room is made of one whose request is here", HTTP, "            if victim.arriving():", "            if False:"),
     ("bad clients: what came before the noise is dropped", HTTP, "self.message, self._bad = None, (status, why, told)", "self.message, self.ended, self.closing = None, True, True"),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -62,6 +62,13 @@
          "lastword\n", STOPPED.format("a"), "ends\nn0 ran PUT 0\n")  # fmt: skip
 
 
+def test_one_half_read_behind_another_is_refused_at_the_end_too() -> None:
+    half = f"a >\n| PUT /write?block={block(2)} HTTP/1.1\n" + HEAD.replace("a1", "a2") + "= ab\n"
+    play("node n0 0\nn0 next hold\nclient a platform\nclient b platform\n", asks("a", 1),
+         "until attempts_written 1\n", half, well("b"), "signal TERM\n", well("b"),
+         "lastword\na <\n& failed\n", STOPPED.format("a"), "ends\n")  # fmt: skip
+
+
 def test_one_that_waits_is_answered_at_the_end_with_what_is_known_of_it() -> None:
     """Out at a node, queued behind it, and behind it on its own connection: the first may have run."""
     play(
@@ -418,6 +425,16 @@
     )  # fmt: skip
 
 
+def test_what_is_sent_ahead_is_held_within_the_memory_for_bodies() -> None:
+    """Beyond that it is dropped, and what was whole before it is answered."""
+    ahead = f"a >\n| {'x' * 6_000}\n"
+    play("node n0 0\nn0 next hold\nclient a platform\n", asks("a", 1), asks("a", 2),
+         "until attempts_written 1\nmemory 5000\n", ahead, "until bad_requests_503 1\nn0 release 1\n",
+         DONE.format("a"), DONE.format("a"),
+         "a <\n| HTTP/1.1 503 Service Unavailable\n| Retry-After: 0.5\n| Content-Length: {~}\n"
+         "| Connection: close\n|\n~ refused: too much is held at present\n")  # fmt: skip
+
+
 # Idle connections
 
 
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -339,7 +339,11 @@
             self._ahead.append(data)
             self._ahead_size += len(data)
             self.clients.held += len(data)
-            if self._ahead_size > self.clients.head_most:
+            if self.clients.held > self.clients.memory:
+                self.clients.counters.add("bodies_over_memory")
+                self._drop_ahead()
+                self.refuse(503, "too much is held at present")
+            elif self._ahead_size > self.clients.head_most:
                 self.transport.pause_reading()
             return
         self._feed(data)
@@ -641,6 +645,8 @@
             return
         self._next()
         self._catch_up()
+        if self.clients.over:
+            self.cut_short()
 
     # States
 
