--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -34,6 +34,7 @@
     ("client gone: a limit is charged for what was not sent", DECIDE, "self.volumes[item.req.volume].limit.have += item.req.units", "pass"),
     ("hand-over of news: a draining server gets what was dialled", ATTEMPTS, "if self.attempt is not None and not self.pool.takes_new(self.attempt.node):", "if False:"),
     ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
+    ("watches: a list waits for its line's end", WATCH, '        if self.buffer.endswith(b"}"):', "        if False:"),
     ("watches: what can't be read is passed over", WATCH, "        if not self.watch.line(whole):", "        if not self.watch.line(whole) and False:"),
     ("watches: an object that breaks off is waited for", WATCH, "            if self.depth:\n                self.end", "            if False:\n                self.end"),
     ("watches: a call that hangs stands for the whole silence", WATCH, "        return UNANSWERED if self.agent else WAITING\n", "        return WAITING\n"),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -241,6 +241,14 @@
     play(BEGIN, *pieces, "until discovery_updates 2\ncounter discovery_breaks 0\n", NOTHING_GOES)
 
 
+@pytest.mark.parametrize("whole", [told(2, "draining"), indented(2, "draining")], ids=["a line", "indented"])
+def test_a_list_is_taken_with_its_last_brace(whole: str) -> None:
+    """The line's end may come with the next empty line, two seconds later."""
+    *lines, last = whole.splitlines(keepends=True)
+    play(BEGIN, "discovery >\n", *lines, last.replace("~ ", "= "), "until discovery_updates 2\n",
+         "discovery >\n|\n", well("a"), "counter discovery_breaks 0\n", NOTHING_GOES)  # fmt: skip
+
+
 @pytest.mark.parametrize(
     "broken", ['~ {"index":2,"snapshot":fal\n', '~ {"index":2,\n~ "snapshot":\n|\n', "~ [1]\n"]
 )
--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -84,6 +84,11 @@
             self._line(line)
             if self.dead:
                 return
+        if self.buffer.endswith(b"}"):  # all of an object may be here before its line's end
+            bare = STRINGS.sub(b"", self.buffer)
+            if b'"' not in bare and self.depth + bare.count(b"{") == bare.count(b"}"):
+                line, self.buffer = self.buffer, b""
+                return self._line(line)
         if self.size + len(self.buffer) > LINE_MOST:
             self.end("line too long")
 
