--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,7 @@
 from umberlead.core.counters import Counters
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import Outgoing, Pool
+from umberlead.net.attempts import LATE, RACE, RACERS, WORTH, Outgoing, Pool
 
 LINK_TIMEOUT = 250_000
 
@@ -52,19 +52,20 @@
     def __init__(self, up_when_cancelled: bool) -> None:
         self.now = 1_000_000
         self.late, self.wire = up_when_cancelled, Wire()
-        self.conn: Any = None
+        self.conns: list[Any] = []  # as their dials began
         self.alarms: list[tuple[int, Callable[[], None]]] = []
 
     def create_task(self, work: Any) -> "asyncio.Task[None]":
         return asyncio.get_running_loop().create_task(work)
 
     async def create_connection(self, factory: Callable[[], Any], *where: Any) -> Any:
-        self.conn = factory()
+        conn = factory()
+        self.conns.append(conn)
         try:
             await asyncio.Event().wait()
         except asyncio.CancelledError:
             if self.late:
-                self.conn.connection_made(self.wire)
+                conn.connection_made(self.wire)
             raise
 
     def alarm(self, delay: int, what: Callable[[], None]) -> Any:
@@ -89,12 +90,20 @@
         LINK_TIMEOUT, 4_000_000, "s", lambda *_, **__: None,
     )  # fmt: skip
     pool.addresses["n"] = ("127.0.0.1", 1)
+    return pool, ends, _attempt(dials)
+
+
+def _attempt(dials: Dials, number: int = 0) -> Any:
     ask = SimpleNamespace(payload=Outgoing(b"PUT", b"/w", []))
-    attempt = SimpleNamespace(
-        node="n", number=0, once=True, again=False, astray=False, sent=dials.now, give_up=9_000_000,
+    return SimpleNamespace(
+        node="n", number=number, once=True, again=False, astray=False, sent=dials.now, give_up=9_000_000,
         carried=None, ticket=SimpleNamespace(ask=ask, answered=False),
     )  # fmt: skip
-    return pool, ends, attempt
+
+
+async def _turns() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize("late", [True, False])
@@ -105,18 +114,20 @@
     async def test() -> None:
         dials = Dials(late)
         pool, ends, attempt = _pool(dials)
+        pool.late = 0.0  # no second dial beside it
         pool.start(attempt)
         await asyncio.sleep(0)
         if ended_by == "engine":
             pool.stop(attempt, Result.TIMEOUT)
         else:
             dials.until(dials.now + 2 * LINK_TIMEOUT)
-        for _ in range(5):
-            await asyncio.sleep(0)
+            assert ends.seen == [(0, Result.NO_LINK)]  # at the time-out, while its dial goes on
+            dials.until(dials.now + LATE * LINK_TIMEOUT)
+        await _turns()
         assert ends.seen == [(0, Result.NO_LINK)]
         assert not dials.wire.sent and dials.wire.aborted == late
         assert not len(pool.slots)  # and its place is free again
-        dials.conn.connection_lost(None)  # some loops call it all the same
+        dials.conns[0].connection_lost(None)  # some loops call it all the same
         assert len(ends.seen) == 1
 
     asyncio.run(test())
@@ -132,10 +143,103 @@
         await asyncio.sleep(0)
         dials.now += 4 * LINK_TIMEOUT
         pool.wheel.turn()
-        dials.conn.connection_made(dials.wire)
+        dials.conns[0].connection_made(dials.wire)
         dials.until(dials.now + 2 * LINK_TIMEOUT)
         await asyncio.sleep(0)
         assert dials.wire.sent and not dials.wire.aborted and not ends.seen
         pool.close()
 
     asyncio.run(test())
+
+
+async def _raced() -> tuple[Dials, Pool, Ends, Any]:
+    dials = Dials(False)
+    pool, ends, attempt = _pool(dials)
+    pool.start(attempt)
+    await _turns()
+    dials.until(dials.now + int(RACE * LINK_TIMEOUT) + 4000)
+    await _turns()
+    assert len(dials.conns) == 2 and not ends.seen
+    return dials, pool, ends, attempt
+
+
+def _wire(pool: Pool, conn: Any) -> Wire:
+    """Up, on a transport of its own whose peer says nothing."""
+    wire, conn.quiet = Wire(), lambda: True
+    conn.connection_made(wire)
+    return wire
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_a_slow_dial_is_raced_and_the_first_that_is_up_carries_the_attempt(first: int) -> None:
+    """Seen on days when a third of the connections come up late: each that took over the link time-out ended
+    its attempt and rested a server that was well, whose requests nobody else can take."""
+
+    async def test() -> None:
+        dials, pool, ends, attempt = await _raced()
+        won, other = dials.conns[first], dials.conns[1 - first]
+        assert _wire(pool, won).sent and attempt.carried is won
+        spare = _wire(pool, other)  # the other is not lost: the next attempt, also a second, has a connection
+        assert not spare.sent and not ends.seen
+        again = _attempt(dials, 1)
+        pool.start(again)
+        assert spare.sent and again.carried is other and len(dials.conns) == 2
+        dials.until(dials.now + (LATE + 1) * LINK_TIMEOUT)
+        assert not ends.seen  # no time-out of a dial is left behind
+        pool.close()
+
+    asyncio.run(test())
+
+
+def test_a_dial_that_comes_up_after_its_attempt_s_end_carries_the_next() -> None:
+    async def test() -> None:
+        dials, pool, ends, _ = await _raced()
+        dials.until(dials.now + 2 * LINK_TIMEOUT)
+        await _turns()
+        assert ends.seen == [(0, Result.NO_LINK)] and len(dials.conns) == 1 + RACERS
+        again = _attempt(dials, 1)
+        pool.start(again)
+        await _turns()
+        assert _wire(pool, dials.conns[0]).sent and again.carried is dials.conns[0]
+        assert ends.seen == [(0, Result.NO_LINK)]
+        pool.close()
+
+    asyncio.run(test())
+
+
+def test_a_server_that_is_lost_is_not_dialled_three_times_for_each_attempt() -> None:
+    async def test() -> None:
+        dials = Dials(False)
+        pool, ends, _ = _pool(dials)
+        for number in range(40):
+            pool.start(_attempt(dials, number))
+            await _turns()
+            dials.until(dials.now + 2 * LINK_TIMEOUT)
+            await _turns()
+        assert len(ends.seen) == 40 and pool.late < WORTH
+        before = len(dials.conns)
+        pool.start(_attempt(dials, 40))
+        await _turns()
+        dials.until(dials.now + (LATE + 1) * LINK_TIMEOUT)
+        await _turns()
+        assert len(dials.conns) == before + 1 and not len(pool.slots) and not pool.dials
+        pool.close()
+
+    asyncio.run(test())
+
+
+def test_dials_that_nobody_waits_for_make_room_at_the_cap() -> None:
+    async def test() -> None:
+        dials, pool, ends, _ = await _raced()
+        pool.most = 2  # all taken: one by the attempt, one by its racer
+        dials.until(dials.now + int(RACE * LINK_TIMEOUT) + 4000)
+        await _turns()
+        assert len(dials.conns) == 2  # no race without room
+        other = _attempt(dials, 0)
+        pool.start(other)
+        await _turns()
+        assert len(dials.conns) == 3 and len(pool.slots) == 2 and not ends.seen
+        assert _wire(pool, dials.conns[0]).sent and not other.carried.written
+        pool.close()
+
+    asyncio.run(test())
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -27,6 +27,11 @@
 STILL = 10_000_000  # us in which a long answer must move on
 SLOW = 20_000  # us after which an answer of no told length, still coming, counts as a long one
 LONG_MOST = 32 << 20  # the protocol's bytes of a long answer
+RACE = 0.2  # of the link time-out: a dial that is not up by then may be raced by another
+RACERS = 2  # most that an attempt's first dial is raced by
+LATE = 6  # link time-outs that a dial may take to come up, for whoever waits then
+LEARN = 0.1  # weight of one more dial in the part of slow ones that come up
+WORTH = 0.25  # least part of them that makes racing worth its connections: of a lost server none comes up
 REST = 5_000  # us a connection rests after an answer: what comes behind that belongs to no request
 LENGTH = re.compile(rb"[0-9]{1,15}")
 FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
@@ -69,7 +74,10 @@
         self.dial: asyncio.Task[None] | None = None
         self.timer: Timer | None = None
         self.slot = -1
+        self.since = pool.clock()  # when its dial began, then when it came up
+        self.raced = 0  # times that another dial was thought of beside this one
         self.idle_since = 0  # 0 before its first answer
+        self.used = False  # it has carried an attempt
         self.until = 0  # by when a long answer must be through
         self.heard = self._first = 0  # when the latest of an answer came, and the first of it
         self.closed = self.over = False
@@ -105,7 +113,10 @@
             self.timer.cancel()
             self.timer = None
         self.pool.counters.add("node_connections_opened")
-        if self.attempt is not None and not self.pool.takes_new(self.attempt.node):
+        self.pool.came_up(self)
+        if self.attempt is None:
+            return self.pool.spare(self)
+        if not self.pool.takes_new(self.attempt.node):
             self.pool.counters.add("node_connections_too_late")  # it drains, or went, while this came up
             return self.give_up(Result.MOOT)
         self._write()
@@ -125,6 +136,7 @@
     def _write(self) -> None:
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
+        self.used = True
         out: Outgoing = attempt.ticket.ask.payload
         left = max(attempt.give_up - self.pool.clock(), 0) / 1e6
         parts = [out.method, b" ", out.target, b" HTTP/1.1\r\n", self.pool.host]
@@ -434,15 +446,35 @@
             self.why = why
             self.close()
 
-    def not_up(self) -> None:
-        """Where the front itself stood still (a slow core, SIGSTOP), timers run before what came meanwhile is
-        looked at: one more tick, or a connection that is up counts as a server that is not."""
-        self.timer = self.pool.wheel.after(1, self._not_up)
+    def slow(self) -> None:
+        """Not up yet. Where the front itself stood still (a slow core, SIGSTOP), timers run before what came
+        meanwhile is looked at: one more tick, or a connection that is up counts as a server that is not."""
+        self.timer = self.pool.wheel.after(1, self._slow)
 
-    def _not_up(self) -> None:
+    def _slow(self) -> None:
+        """Connections may come up late one by one, at a server that is well: another dial is begun beside it,
+        and the first that is up carries the attempt. At the link time-out the attempt ends; its dial goes on
+        for whoever waits when it comes up."""
+        pool, now = self.pool, self.pool.clock()
+        if self.attempt is None:
+            pool.never_up(self)
+            return self.close()
+        if now < self.since + pool.link_timeout:
+            if self.raced < RACERS:
+                self.raced += 1
+                pool.race(self.address)
+            self.timer = pool.wheel.at(pool.look_again(self), self.slow)
+            return
         self.fault = "not up in time"
-        self.pool.counters.add("node_connections_timed_out")
-        self.close()
+        pool.counters.add("node_connections_timed_out")
+        self.wait_on()
+        self._end(Result.NO_LINK)
+
+    def wait_on(self) -> None:
+        """Its attempt goes elsewhere, or has ended: it may still come up."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.pool.wheel.at(self.since + LATE * self.pool.link_timeout, self.slow)
 
     def close(self) -> None:
         if self.closed:
@@ -508,6 +540,8 @@
         self.idle: dict[Address, list[NodeConnection]] = {}
         self.takes_new: Callable[[str], bool] = lambda node: True  # by the list as it stands
         self.risk = 0.0
+        self.late = 2 * WORTH  # part of slow dials that come up
+        self.dials: dict[Address, list[NodeConnection]] = {}  # not up yet, the oldest first
         self.slots: Slots[NodeConnection] = Slots()
         self.memory, self.held = BODY_MOST, 0  # of answers that are being read
         self.answer_most, self.head_most = BODY_MOST, HEAD_MOST
@@ -519,7 +553,7 @@
             return
         # After a break, or where kept connections break and the request can't go out twice, only a new one.
         fresh = attempt.number > 0 or (attempt.once and self.risk > RISK)
-        conn = None if fresh else self._kept(address)
+        conn = self._kept(address, fresh)
         if conn is not None:
             conn.attempt, attempt.carried = attempt, conn
             self.counters.add("node_connections_reused")
@@ -531,7 +565,8 @@
         """Nobody is listed there any longer. What is out ends there; connections that rest end now, the
         others with their answers."""
         for address in addresses:
-            for conn in list(self.idle.get(address, [])):
+            dials = [c for c in self.dials.get(address, []) if c.attempt is None]
+            for conn in [*self.idle.get(address, []), *dials]:
                 conn.close()
 
     def dial(self, attempt: Attempt, address: Address) -> None:
@@ -539,17 +574,68 @@
             self.counters.add("node_connections_over_cap")
             self.engine.ended(attempt, Result.MOOT)  # our own cap, and none of the node's doing
             return
+        conn = self._open(address)
+        conn.attempt, attempt.carried = attempt, conn
+        conn.timer = self.wheel.at(self.look_again(conn), conn.slow)
+
+    def _open(self, address: Address) -> NodeConnection:
         conn = NodeConnection(self, address)
-        conn.slot, conn.attempt, attempt.carried = self.slots.add(conn), attempt, conn
-        conn.timer = self.wheel.after(self.link_timeout, conn.not_up)
+        conn.slot = self.slots.add(conn)
+        self.dials.setdefault(address, []).append(conn)
         conn.dial = self.loop.create_task(self._dial(conn))
         conn.dial.add_done_callback(conn.dial_ended)
-
-    def _kept(self, address: Address) -> NodeConnection | None:
-        """The one used last: the others age and retire."""
+        return conn
+
+    def look_again(self, conn: NodeConnection) -> int:
+        """When a dial that carries an attempt is looked at next: to be raced, or given up."""
+        part = RACE * (conn.raced + 1) if conn.raced < RACERS else 1.0
+        return conn.since + int(part * self.link_timeout)
+
+    def race(self, address: Address) -> None:
+        """Begin another dial there, where slow ones have been seen to come up and there is room for it."""
+        if self.late >= WORTH and len(self.slots) < self.most:
+            self.counters.add("node_connections_raced")
+            self._open(address).wait_on()
+
+    def came_up(self, conn: NodeConnection) -> None:
+        """Out of the dials; without an attempt of its own it takes that of the oldest that still dials."""
+        now = self.clock()
+        if now - conn.since > RACE * self.link_timeout:
+            self.late += LEARN * (1 - self.late)
+        conn.since = now
+        self._no_dial(conn)
+        waiting = [c for c in self.dials.get(conn.address, []) if c.attempt is not None and not c.closed]
+        if conn.attempt is None and waiting:
+            attempt, waiting[0].attempt = waiting[0].attempt, None
+            assert attempt is not None
+            conn.attempt, attempt.carried = attempt, conn
+            waiting[0].wait_on()
+
+    def never_up(self, conn: NodeConnection) -> None:
+        self.late -= LEARN * self.late
+        self.counters.add("node_connections_never_up")
+
+    def spare(self, conn: NodeConnection) -> None:
+        """Up, and nobody waits for it now: the next attempt there has a connection."""
+        self.counters.add("node_connections_spare")
+        self.rest(conn)
+        conn.idle_since -= REST
+
+    def _no_dial(self, conn: NodeConnection) -> None:
+        dials = self.dials.get(conn.address)
+        if dials and conn in dials:
+            dials.remove(conn)
+            if not dials:
+                del self.dials[conn.address]
+
+    def _kept(self, address: Address, fresh: bool) -> NodeConnection | None:
+        """The one used last: the others age and retire. `fresh`: only one that came up a moment ago and has
+        carried nothing yet, which is as good as a new one."""
         resting, rested = self.idle.get(address, []), self.clock() - REST
         for at in range(len(resting) - 1, -1, -1):
             conn = resting[at]
+            if fresh and (conn.used or conn.since < rested - LATE * self.link_timeout):
+                continue
             if conn.idle_since <= rested:
                 del resting[at]
                 if not conn.closed and conn.idle() and conn.quiet():
@@ -597,6 +683,7 @@
         if conn.slot >= 0:
             self.slots.free(conn.slot)
             conn.slot = -1
+        self._no_dial(conn)
         resting = self.idle.get(conn.address)
         if resting and conn in resting:
             resting.remove(conn)
@@ -604,8 +691,9 @@
     def sweep(self) -> None:
         """Retire idle connections well before the chunk server may close them."""
         old = self.clock() - self.idle_time
-        while len(self.slots) > self.most and self._evict():  # the cap came down
-            continue
+        for _ in range(len(self.slots) - self.most):  # the cap came down; their places are free a turn later
+            if not self._evict():
+                break
         for address, resting in list(self.idle.items()):
             while resting and resting[0].idle_since <= old:
                 self.counters.add("node_connections_retired")
@@ -616,7 +704,10 @@
     def _evict(self) -> bool:
         resting = [r for r in self.idle.values() if r]
         if not resting:
-            return False
+            spare = [c for dials in self.dials.values() for c in dials if c.attempt is None and not c.closed]
+            if spare:
+                min(spare, key=lambda c: c.since).close()
+            return bool(spare)
         conn = min(resting, key=lambda r: r[0].idle_since).pop(0)
         conn.close()
         return True
