--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,7 @@
 from umberlead.core.counters import Counters
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import LATE, RACE, RACERS, WORTH, Outgoing, Pool
+from umberlead.net.attempts import COMES_UP, RACE, RACERS, WORTH, Outgoing, Pool
 
 LINK_TIMEOUT = 250_000
 
@@ -122,7 +122,7 @@
         else:
             dials.until(dials.now + 2 * LINK_TIMEOUT)
             assert ends.seen == [(0, Result.NO_LINK)]  # at the time-out, while its dial goes on
-            dials.until(dials.now + LATE * LINK_TIMEOUT)
+            dials.until(dials.now + COMES_UP * LINK_TIMEOUT)
         await _turns()
         assert ends.seen == [(0, Result.NO_LINK)]
         assert not dials.wire.sent and dials.wire.aborted == late
@@ -184,7 +184,7 @@
         again = _attempt(dials, 1)
         pool.start(again)
         assert spare.sent and again.carried is other and len(dials.conns) == 2
-        dials.until(dials.now + (LATE + 1) * LINK_TIMEOUT)
+        dials.until(dials.now + (COMES_UP + 1) * LINK_TIMEOUT)
         assert not ends.seen  # no time-out of a dial is left behind
         pool.close()
 
@@ -220,7 +220,7 @@
         before = len(dials.conns)
         pool.start(_attempt(dials, 40))
         await _turns()
-        dials.until(dials.now + (LATE + 1) * LINK_TIMEOUT)
+        dials.until(dials.now + (COMES_UP + 1) * LINK_TIMEOUT)
         await _turns()
         assert len(dials.conns) == before + 1 and not len(pool.slots) and not pool.dials
         pool.close()
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -29,7 +29,7 @@
 LONG_MOST = 32 << 20  # the protocol's bytes of a long answer
 RACE = 0.2  # of the link time-out: a dial that is not up by then may be raced by another
 RACERS = 2  # most that an attempt's first dial is raced by
-LATE = 6  # link time-outs that a dial may take to come up, for whoever waits then
+COMES_UP = 6  # link time-outs that a dial may take to come up, for whoever waits then
 LEARN = 0.1  # weight of one more dial in the part of slow ones that come up
 WORTH = 0.25  # least part of them that makes racing worth its connections: of a lost server none comes up
 REST = 5_000  # us a connection rests after an answer: what comes behind that belongs to no request
@@ -474,7 +474,7 @@
         """Its attempt goes elsewhere, or has ended: it may still come up."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.pool.wheel.at(self.since + LATE * self.pool.link_timeout, self.slow)
+        self.timer = self.pool.wheel.at(self.since + COMES_UP * self.pool.link_timeout, self.slow)
 
     def close(self) -> None:
         if self.closed:
@@ -634,7 +634,7 @@
         resting, rested = self.idle.get(address, []), self.clock() - REST
         for at in range(len(resting) - 1, -1, -1):
             conn = resting[at]
-            if fresh and (conn.used or conn.since < rested - LATE * self.link_timeout):
+            if fresh and (conn.used or conn.since < rested - COMES_UP * self.link_timeout):
                 continue
             if conn.idle_since <= rested:
                 del resting[at]
