Pass a long answer on past its request's time while it moves, and bound what never ends

At fault: net/attempts.py _begin and _still: `until`, the request's time, ended every long answer, moving or not, with a told length or none; of one above 64 KiB only the first bytes are timed. Checked by the new tests on the lines before: answers with a length, in chunks and up to the connection's end all broke off past that time. Ruled out: the link time-out within answers (its counter stood at 0), the 10 s in which an answer must move on, and the holding back for slow readers (that time was given back already).

Now one that moves goes on. What bounds one that never ends: a told length; without one the protocol's 32 MB, and 10 s past the request's time its place, where that is needed at nodes or for clients and no connection rests (60 s with a told length, and last); 10 s without a byte; the stop, at which it breaks off as the process ends. One of no told length that has given up to 64 KiB may be a small one, whose client waits for its last byte: past its request's time it may pause for 0.5 s. Answers that are not 200, or not passed on yet, end by the request's time as before.

The test never_ends in test_crossings.py was wrong: it asked that an answer that moves break off at its request's time, which is the fault. In its place: test_long.py, on real sockets with the test clock. Without the mend 11 of its tests failed; the three of the stop passed before as well and guard it now.

--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -25,6 +25,10 @@
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
 SMOOTH = 0.02  # weight of one more reuse in that part
 STILL = 10_000_000  # us in which a long answer must move on
+PAUSE = 500_000  # us that a server may stop within an answer that it is still giving
+# us past its request's time from which a long answer gives its place up where places are short: one of no
+# told length may never end; one of a told length has an end, however slow.
+LATE, OLD = 10_000_000, 60_000_000
 SLOW = 20_000  # us after which an answer of no told length, still coming, counts as a long one
 LONG_MOST = 32 << 20  # the protocol's bytes of a long answer
 RACE = 0.2  # of the link time-out: a dial that is not up by then may be raced by another
@@ -78,7 +82,7 @@
         self.raced = 0  # times that another dial was thought of beside this one
         self.idle_since = 0  # 0 before its first answer
         self.used = False  # it has carried an attempt
-        self.until = 0  # by when a long answer must be through
+        self.until = self.passed = 0  # the request's time, and the bytes passed on, of a long answer
         self.heard = self._first = 0  # when the latest of an answer came, and the first of it
         self.closed = self.over = False
         self.fault = ""  # why no connection came up
@@ -249,6 +253,7 @@
         if self.whole or self.why is not None:
             return
         if self.sink is not None:
+            self.passed += len(body)
             return self.sink.more(body)
         if self.attempt is None:
             return  # given up within this read
@@ -310,6 +315,7 @@
         attempt, reply = self.attempt, self._reply()
         assert attempt is not None
         reply.rest, reply.length = self, self.length
+        self.passed = self.size
         self.pool.held, self.size, self.body = self.pool.held - self.size, 0, []
         self.attempt, self.why = None, None
         if self.timer is not None:
@@ -332,6 +338,8 @@
             self.surplus = True
         if self.whole:
             self._passed(self.keep and self.written and not self.surplus)
+        elif self.passed > LONG_MOST:  # none of a told length: that is looked at with the head
+            self._break()
 
     def _passed(self, keep: bool) -> None:
         sink, self.sink = self.sink, None
@@ -355,15 +363,32 @@
             sink.broke()
 
     def _still(self) -> None:
-        """A node that stopped in the middle, or goes on past the request's time: one whose answer never ends
-        would leave its client without any. Of a client that stands still its own connection tells."""
+        """A node that stopped in the middle. While it goes on, so does the answer, also past the request's
+        time: what is still given is not cut off. One of no told length and of no more than 64 KiB yet may be
+        a small one, whose client waits for its last byte: past that time it may only pause. Of a client that
+        stands still its own connection tells."""
         now = self.pool.clock()
-        until = now + STILL if self._held else min(self.heard + STILL, self.until)
+        until = now + STILL if self._held else self.heard + STILL
+        if not self._held and self.length is None and self.passed <= BODY_MOST:
+            until = min(until, max(self.heard + PAUSE, self.until))
         if until <= now:
             self._break()
         else:
             self.timer = self.pool.wheel.at(until, self._still)
 
+    def overdue(self) -> tuple[bool, int] | None:
+        """Whether a long answer gives its place up to another's need, by `give_way`; of several the smallest
+        goes first: those of no told length, then by their requests' time. None: it doesn't."""
+        if self.sink is None or self.closed:
+            return None
+        now, told = self.pool.clock(), self.length is not None
+        until = self.until + (now - self._held_since if self._held else 0)
+        return (told, until) if until + (OLD if told else LATE) <= now else None
+
+    def give_way(self) -> None:
+        self.pool.counters.add("node_answers_gave_way")
+        self._break()
+
     def hold(self, stop: bool) -> None:
         """Its reader has enough for now, or reads on."""
         if self.transport is None or self.transport.is_closing():
@@ -702,16 +727,25 @@
                 del self.idle[address]
 
     def _evict(self) -> bool:
+        """A place for another: of the connections at rest the one idle for longest, else a dial that nobody
+        waits for, else that of a long answer far past its request's time."""
         resting = [r for r in self.idle.values() if r]
-        if not resting:
-            spare = [c for dials in self.dials.values() for c in dials if c.attempt is None and not c.closed]
-            if spare:
-                min(spare, key=lambda c: c.since).close()
-            return bool(spare)
-        conn = min(resting, key=lambda r: r[0].idle_since).pop(0)
-        conn.close()
-        return True
+        if resting:
+            min(resting, key=lambda r: r[0].idle_since).pop(0).close()
+            return True
+        spare = [c for dials in self.dials.values() for c in dials if c.attempt is None and not c.closed]
+        if spare:
+            min(spare, key=lambda c: c.since).close()
+            return True
+        late = [(rank, conn.slot, conn) for conn in self.slots if (rank := conn.overdue()) is not None]
+        if late:
+            min(late)[2].give_way()
+        return bool(late)
 
     def close(self) -> None:
+        """Clients of long answers see at once that these are not whole."""
         for conn in self.slots:
-            conn.close()
+            if conn.sink is not None:
+                conn._break()
+            else:
+                conn.close()
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -87,6 +87,10 @@
 
     def abandon(self) -> None: ...
 
+    def overdue(self) -> Any: ...
+
+    def give_way(self) -> None: ...
+
 
 class Stopped(Exception):
     """Raised in a parser's callback: nothing behind this is read as a request."""
@@ -159,6 +163,7 @@
     def make_room(self) -> bool:
         """At the cap one connection without an open request goes: one that ends anyway, else one that has
         sent nothing in its grace, else the one idle for longest: its client opens another when it needs one.
+        Where all have one, a long answer gives way that goes on far past its request's time.
         A flood of silent connections takes no usual client's place."""
         if len(self.slots) - self.going < self.most:
             return True
@@ -174,7 +179,17 @@
             self.going += 1
             victim.transport.abort()
             return True
-        return False
+        late = [
+            (rank, c.slot, c) for c in self.slots if c.source and (rank := c.source.overdue()) is not None
+        ]
+        if not late:
+            return False
+        victim = min(late)[2]
+        self.counters.add("clients_evicted")
+        victim.ended = victim.evicted = True
+        self.going += 1
+        cast(Source, victim.source).give_way()
+        return True
 
 
 class Listener:
