Hear out a server that pauses within a write's answer; reset a cut answer that has no end of its own

- net/attempts.py _stalled: an answer that had begun and was silent for the link time-out, the time for a connection to come up, was cut off as cut_short.
For a read that is a quick second try and stays.
A write can't be sent again: it was answered as failed though its 200 was on the way.
Once its head is here it now has 0.5 s between its bytes.
- net/http.py broke: to a client of HTTP/1.0 a long answer of no told length ends with its connection, and one that broke off closed it in order, as if whole.
It is reset now.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -48,7 +48,10 @@
     ("long answers: a small one that stopped is waited for", ATTEMPTS, "until = min(until, max(self.heard + PAUSE, self.until))", "pass"),
     ("long answers: a flood has no end", ATTEMPTS, "elif self.passed > LONG_MOST:", "elif False:"),
     ("long answers: none gives way at nodes", ATTEMPTS, "            min(late)[2].give_way()\n", "            return False\n"),
+    ("long answers: a lower cap ends all connections at rest", ATTEMPTS, "        for _ in range(len(self.slots) - self.most):  # the cap came down\n", "        while len(self.slots) > self.most:\n"),
     ("long answers: none gives its client's place", HTTP, "        if not late:\n            return False\n", "        return False\n"),
+    ("long answers: to a client of HTTP/1.0 one that broke off looks whole", HTTP, "if not (self._chunked or self.length or self.transport.is_closing()):", "if False:"),
+    ("long answers: a write's is cut off where its server pauses", ATTEMPTS, "wait = max(wait, PAUSE)", "pass"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.leaving = self.processes > 1", "clients.leaving = False"),
 )  # fmt: skip
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -250,6 +250,7 @@
 
 def test_a_reset_is_no_end() -> None:
     play(servers(1), begun("a", 0, "bare"), "a has 70000\nn0 reset\na cut\n")
+    play(servers(1), begun("a", 0, "chunked", version="1.0"), "a has 70000\nn0 finish\na cut\n")
 
 
 @pytest.mark.parametrize("way", ["chunked", "bare"])
@@ -281,6 +282,12 @@
          piece(0, "told", 110_000, 120_000), "a whole 120000\ncounter node_answers_gave_way 1\n")  # fmt: skip
 
 
+def test_a_cap_that_comes_down_ends_no_more_connections_than_it_must() -> None:
+    play(servers(3), *(ASKS.format(a, n) + SERVED.format(a, n) for n, a in enumerate("abc")),
+         "places nodes 2\nclock 100000\nn0 eof\n", ASKS.format("d", 1), SERVED.format("d", 1),
+         ASKS.format("e", 2), SERVED.format("e", 2), "counter node_connections_opened 3\n")  # fmt: skip
+
+
 def test_where_clients_places_are_short_one_far_past_its_time_gives_way() -> None:
     ways = ["told", "chunked"]
     begin = [begun(a, n, w) + f"{a} has 70000\n" for n, (a, w) in enumerate(zip("ab", ways, strict=True))]
@@ -292,3 +299,14 @@
          "client d platform\nd >\n| GET /healthz HTTP/1.1\n|\nb cut\n",
          "d <\n| HTTP/1.1 200 OK\n| Content-Length: 3\n| Connection: close\n|\n~ ok\n",
          piece(0, "told", 110_000, 120_000), "a whole 120000\ncounter node_answers_gave_way 1\n")  # fmt: skip
+
+
+def test_a_server_that_pauses_within_a_write_s_answer_is_heard_out() -> None:
+    """It can't be tried again, so cutting it off wins nothing; one that stops for good is an error."""
+    play("set settings.bounds.dialTimeout 60000\nnode n0 0:script\nclient a platform\n",
+         "a >\n& write a1 / 0\nn0 <\n& sent a1 / 0\n",
+         "n0 >\n| HTTP/1.1 200 OK\n| Content-Length: 3\n|\n= a\n", WELL.format("b"), "clock 100000\n",
+         "n0 >\n= bc\na <\n& three abc\n",
+         "clock 10000\na >\n& write a2 / 0\nn0 <\n& sent a2 / 0\n",
+         "n0 >\n| HTTP/1.1 200 OK\n| Content-Length: 3\n|\n= a\n",
+         WELL.format("c"), "clock 500000\na <\n& failed\n")  # fmt: skip
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -288,7 +288,10 @@
     def _stalled(self) -> None:
         """Once begun, an answer goes on. A length that says too much would hold the request, and its place at
         the node, to the end of its time."""
-        until = self.heard + self.pool.link_timeout
+        wait, attempt = self.pool.link_timeout, self.attempt
+        if attempt is not None and attempt.once and self.head_done:
+            wait = max(wait, PAUSE)  # nothing is tried elsewhere in its place, and the server may only pause
+        until = self.heard + wait
         if until > self.pool.clock():
             self.timer = self.pool.wheel.at(until, self._stalled)
         else:
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -5,6 +5,7 @@
 import re
 import select
 import socket
+import struct
 import sys
 import termios
 from collections import deque
@@ -653,9 +654,13 @@
         self.finished()
 
     def broke(self) -> None:
-        """The client sees it: the answer ends short of its length, or of its last chunk."""
+        """The client sees it: the answer ends short of its length, or of its last chunk; where it would end
+        with its connection, that is reset."""
         self.source = None
         self._done(False)
+        if not (self._chunked or self.length or self.transport.is_closing()):
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.transport.abort()
 
     def finished(self) -> None:
