Untie the two import circles: a start of its own, lists joined to parts of a front

Cause: umberlead/__main__.py imported commands for a call with words, and commands/__init__.py (`run`) imported main back from it; membership/joining.py named Front for its types, and front.py imports joining. Checked by reading every import statement, those in functions and for types alone too: no other circle in the package.

Change: main() stands in umberlead/start.py, unchanged, and both call it from there; joining says in a Protocol what of a front it needs.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -8,7 +8,7 @@
 
 HTTP, ENGINE, DECIDE = "umberlead/net/http.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
 ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
-OBJECTS, MAIN = "umberlead/fronts/objects.py", "umberlead/__main__.py"
+OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
 
 planted.TESTS = ("tests/test_client_leaves.py", "tests/test_crossings.py", "tests/test_long.py")
 planted.PLANTED = (  # type: ignore[assignment]
@@ -16,7 +16,7 @@
     ("shutdown: what waits behind an answer at the end is taken", HTTP, "        self.over = self.leaving = True\n", "        self.leaving = True\n"),
     ("shutdown: what was never sent counts as doubtful", ENGINE, "unsent = out is None or (self.carrier is not None and self.carrier.unwanted(out))", "unsent = out is None"),
     ("shutdown: a start that was told to stop listens", FRONT, "if self.told_to_stop:  # before anything was taken", "if False:"),
-    ("shutdown: SIGTERM during a start ends it with a signal", MAIN, "    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))\n", ""),
+    ("shutdown: SIGTERM during a start ends it with a signal", START, "    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))\n", ""),
     ("shutdown: SIGHUP during a start is lost", FRONT, "        if EARLY:", "        if False:"),
     ("shutdown: requests sent ahead are dropped", HTTP, "if not self._more() and (self.clients.leaving", "if (self.clients.leaving"),
     ("shutdown: what is half read behind another is left open", HTTP, "        if self.clients.over:\n            self.cut_short()\n", ""),
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,86 @@
+"""The package's layout, read from its import statements: no module needs, however late, one that needs it."""
+
+import ast
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def modules(root: Path, package: str) -> dict[str, Path]:
+    """Every module of a package by its dotted name; a package is its `__init__`."""
+    found = {}
+    for path in sorted((root / package).rglob("*.py")):
+        parts = path.relative_to(root).with_suffix("").parts
+        found[".".join(parts[:-1] if parts[-1] == "__init__" else parts)] = path
+    return found
+
+
+def named(module: str, path: Path) -> Iterator[str]:
+    """What its statements import, in functions and for types alone too; `from a import b` names a.b."""
+    package = module if path.name == "__init__.py" else module.rpartition(".")[0]
+    for node in ast.walk(ast.parse(path.read_text(), str(path))):
+        if isinstance(node, ast.Import):
+            yield from (a.name for a in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            up = package.split(".")[: len(package.split(".")) + 1 - node.level] if node.level else []
+            base = ".".join([*up, *([node.module] if node.module else [])])
+            yield from (f"{base}.{a.name}" for a in node.names)
+
+
+def needs(root: Path, package: str) -> dict[str, set[str]]:
+    """Module to modules. Entered from outside, a package runs its `__init__`; within it, it has run."""
+    known = modules(root, package)
+    graph: dict[str, set[str]] = {}
+    for module, path in known.items():
+        graph[module] = set()
+        for name in named(module, path):
+            while name and name not in known:  # a name in a module stands for the module
+                name = name.rpartition(".")[0]
+            while name:
+                if name != module and not module.startswith(f"{name}."):
+                    graph[module].add(name)
+                name = name.rpartition(".")[0]
+    return graph
+
+
+def circles(graph: dict[str, set[str]]) -> list[list[str]]:
+    """Groups of modules each of which leads to all others of its group."""
+    reach: dict[str, set[str]] = {}
+    for start in graph:
+        todo, reach[start] = [start], set()
+        while todo:
+            for to in graph[todo.pop()] - reach[start]:
+                reach[start].add(to)
+                todo.append(to)
+    groups = {tuple(sorted(b for b in reach[a] if a in reach[b])) for a in graph if a in reach[a]}
+    return [list(g) for g in sorted(groups)]
+
+
+def test_no_imports_go_in_a_circle() -> None:
+    graph = needs(ROOT, "umberlead")
+    assert len(graph) > 80 and sum(map(len, graph.values())) > 250  # it read them
+    assert "umberlead.membership.joining" in graph["umberlead.front"]  # within a function
+    assert "umberlead.net.attempts" in graph["umberlead.membership.joining"]  # for types alone
+    assert circles(graph) == []
+
+
+def test_a_circle_is_found_wherever_its_imports_stand(tmp_path: Path) -> None:
+    files = {
+        "p/__init__.py": "", "p/a.py": "def f():\n    from p import b\n", "p/b.py": "import p.q.c\n",
+        "p/q/__init__.py": "from ..a import f\n", "p/q/c.py": "", "p/d.py": "from .q import c\nimport p.a\n",
+        "p/e.py": "from typing import TYPE_CHECKING\nif TYPE_CHECKING:\n    from p.f import X\n",
+        "p/f.py": "async def g():\n    with open('x'):\n        import p.e as e\nclass X: ...\n",
+    }  # fmt: skip
+    for name, text in files.items():
+        (tmp_path / name).parent.mkdir(parents=True, exist_ok=True)
+        (tmp_path / name).write_text(text)
+    assert circles(needs(tmp_path, "p")) == [["p.a", "p.b", "p.q"], ["p.e", "p.f"]]
+
+
+def test_the_start_of_a_front_loads_nothing_of_the_command_line() -> None:
+    code = "import sys, umberlead.__main__; print(sorted(n for n in sys.modules if n[:9] == 'umberlead'))"
+    done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout == "['umberlead', 'umberlead.__main__', 'umberlead.start']\n", done.stderr
--- a/umberlead/commands/__init__.py
+++ b/umberlead/commands/__init__.py
@@ -25,7 +25,7 @@
 @click.argument("config", required=False, type=click.Path(dir_okay=False, path_type=Path))
 def run(config: Path | None) -> None:
     """Run one front: of CONFIG (TOML), or of the environment as `python -m umberlead` does."""
-    from umberlead.__main__ import main
+    from umberlead.start import main
 
     if config is not None:
         os.environ["UMBERLEAD_CONFIG"] = str(config)
--- a/umberlead/membership/joining.py
+++ b/umberlead/membership/joining.py
@@ -1,9 +1,12 @@
 """Between the list in force and the parts of a front: what the engine and the pool are told of a change."""
 
-from typing import TYPE_CHECKING
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
 
 from umberlead import config
 from umberlead.core import interface as api
+from umberlead.core.counters import Counters
 from umberlead.core.interface import NodeState
 from umberlead.membership.damping import RETURN, Damping
 from umberlead.membership.gate import Gate
@@ -13,10 +16,21 @@
 
 if TYPE_CHECKING:
     from umberlead.core.engine import Engine
-    from umberlead.front import Front
     from umberlead.net.attempts import Pool
 
 
+class Parts(Protocol):
+    """What of a front the lists are joined to."""
+
+    conf: config.Config
+    loop: asyncio.AbstractEventLoop
+    clock: Callable[[], int]
+    counters: Counters
+    log: Any
+    engine: "Engine"
+    pool: "Pool"
+
+
 def server_of(endpoint: config.Endpoint) -> Server:
     """What discovery tells."""
     node = endpoint.node
@@ -61,7 +75,7 @@
         engine.listed(api.NodeList(False, tuple(nodes)))
 
 
-def start(of: config.Lists, front: "Front") -> ListService:
+def start(of: config.Lists, front: Parts) -> ListService:
     """The watch, with its first list in force; ConfigError where there is none to begin with."""
     damping = Damping(of.half_life, of.suppress * RETURN, of.reuse * RETURN)
     longest = max(c.deadline for c in front.conf.settings.classes)
