Divide a volume's limit among the processes of a front, and follow its count of fronts

The fronts' logs show two processes of one front serving beside each other for 2 to 3.7 s at each of the six upgrades, and one of them over those moments.

Checked: sockets and memory are halved then (Front.look, limit), volumes' limits were not. Cause, by reading: decide.Volume gave every process its front's whole part (limit_rate / writers), filled from its own birth, whatever stood beside it; so an upgrade doubled the front's rate for seconds. Beside that, by reading: a part was fixed by the count of fronts in the first request; volumes with a limit were never forgotten; a further attempt was free even where the first never came to a chunk server. Ruled out: that a further attempt takes the units again. What was moot is given back whenever it is, but for one that a chunk server turned away as astray: that had come.

A process has a part of its front's, told by the event Part from Front.look: 1 over the number of processes; one that was told to end writes that into its locked file and has a quarter of another's. A store keeps no more than its part of the burst; who begins beside others begins with nothing, 0.1 s later, by when the other has looked. So the stores of all never hold more than the rule's one. More fronts in a request hold at once, fewer after the longest deadline. A volume is forgotten once silent and full. Where processes can't be seen for want of a descriptor, they are what they were; before, they counted as gone.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -9,8 +9,14 @@
 HTTP, ENGINE, DECIDE = "umberlead/net/http.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
 ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
+VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
 
-planted.TESTS = ("tests/test_client_leaves.py", "tests/test_crossings.py", "tests/test_long.py")
+planted.TESTS = (
+    "tests/test_client_leaves.py",
+    "tests/test_crossings.py",
+    "tests/test_long.py",
+    "tests/test_volumes.py",
+)
 planted.PLANTED = (  # type: ignore[assignment]
     ("shutdown: what is half read at the end is left open", HTTP, "if self.message is not None and self.open is None and not self.ended:\n            self.refuse(503", "if False:\n            self.refuse(503"),
     ("shutdown: what waits behind an answer at the end is taken", HTTP, "        self.over = self.leaving = True\n", "        self.leaving = True\n"),
@@ -31,7 +37,7 @@
     ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
     ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
-    ("client gone: a limit is charged for what was not sent", DECIDE, "self.volumes[item.req.volume].limit.have += item.req.units", "pass"),
+    ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
     ("hand-over of news: a draining server gets what was dialled", ATTEMPTS, "if self.attempt is not None and not self.pool.takes_new(self.attempt.node):", "if False:"),
     ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
     ("watches: a list waits for its line's end", WATCH, '        if self.buffer.endswith(b"}"):', "        if False:"),
@@ -48,11 +54,19 @@
     ("long answers: a small one that stopped is waited for", ATTEMPTS, "until = min(until, max(self.heard + PAUSE, self.until))", "pass"),
     ("long answers: a flood has no end", ATTEMPTS, "elif self.passed > LONG_MOST:", "elif False:"),
     ("long answers: none gives way at nodes", ATTEMPTS, "            min(late)[2].give_way()\n", "            return False\n"),
-    ("long answers: a lower cap ends all connections at rest", ATTEMPTS, "        for _ in range(len(self.slots) - self.most):  # the cap came down\n", "        while len(self.slots) > self.most:\n"),
+    ("long answers: a lower cap ends all connections at rest", ATTEMPTS, "        for _ in range(len(self.slots) - self.most):  # the cap came down; their places are free a turn later\n", "        while len(self.slots) > self.most:\n"),
     ("long answers: none gives its client's place", HTTP, "        if not late:\n            return False\n", "        return False\n"),
     ("long answers: to a client of HTTP/1.0 one that broke off looks whole", HTTP, "if not (self._chunked or self.length or self.transport.is_closing()):", "if False:"),
     ("long answers: a write's is cut off where its server pauses", ATTEMPTS, "wait = max(wait, PAUSE)", "pass"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.leaving = self.processes > 1", "clients.leaving = False"),
+    ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
+    ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
+    ("limits: what is left above a smaller part is kept", "umberlead/core/buckets.py", "most, min(self.have, most)", "most, self.have"),
+    ("limits: a front that joins a volume is not made room for", VOLUMES, "            if most < before:", "            if False:"),
+    ("limits: fewer fronts hold at once", VOLUMES, "            if now - self.fewer_since < hold:", "            if False:"),
+    ("limits: a further attempt is free whatever came of the first", VOLUMES, "        item.paid = None\n", "        pass\n"),
+    ("limits: a volume is forgotten before its store is full", VOLUMES, " and not v.limit.wait(now, v.limit.most)", ""),
+    ("limits: a process that can't be seen is gone", SHARED, "        with contextlib.suppress(OSError):\n            names", "        self._beside = []\n        with contextlib.suppress(OSError):\n            names"),
 )  # fmt: skip
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_volumes.py
@@ -0,0 +1,230 @@
+"""Limits of volumes: the rule's one store, apart from the module, against what all processes of all fronts
+send. Times are virtual; the folder by which processes see each other is a real one."""
+
+import random
+import tempfile
+from collections import deque
+from dataclasses import replace
+from pathlib import Path
+from unittest import mock
+
+import pytest
+from hypothesis import Phase, given, target
+from hypothesis import settings as runs
+from hypothesis import strategies as st
+
+from tests.exchange import Exchange
+from tests.helpers import READ, T0, ask, end, feed, head, settings, up
+from umberlead.core import interface as api
+from umberlead.core.decide import KEPT
+from umberlead.core.interface import Result
+from umberlead.core.records import Item
+from umberlead.core.volumes import CAME, Volumes
+from umberlead.shared import LEAVING, Shared
+
+RATE, BURST, SLACK, LOOK, TICK = 20.0, 40.0, 6.0, 100_000, 10_000
+GOLD = api.Plan("gold", limit_rate=RATE, limit_burst=BURST, limit_slack=SLACK)
+SET = settings(plans=(GOLD,), max_units=6.0)
+
+
+class Rule:
+    """The one store of BENCH's fifth rule: full at first, taken from when a request first comes whole."""
+
+    def __init__(self, now: int) -> None:
+        self.have, self.at, self.lowest, self.charged = BURST, now, BURST, list[tuple[int, float]]()
+
+    def came(self, now: int, units: float) -> None:
+        self.have = min(self.have + (now - self.at) * RATE / 1e6, BURST) - units
+        self.at, self.lowest = now, min(self.lowest, self.have)
+
+
+class Process:
+    """One process of a front: it looks for others every 0.1 s, at times later, and sends all it may."""
+
+    def __init__(self, root: Path, rng: random.Random, born: int) -> None:
+        self.volumes, self.shared, self.rng = Volumes(SET, born), Shared(root), rng
+        self.part, self.looks = 0.0, born + rng.randrange(TICK, LOOK)
+        self.serves = False
+        self.queue, self.out = deque[Item](), list[tuple[int, Item, Result]]()
+
+    def look(self, now: int) -> None:
+        self.shared.others()
+        if (part := self.shared.part()) != self.part:
+            self.part = part
+            self.volumes.share(now, part)
+        self.serves, self.looks = True, now + LOOK + self.rng.choice([0, 0, 50_000])
+
+    def turn(self, now: int, writers: int, surge: bool, rule: Rule, unit: float) -> None:
+        """What comes, if `writers`, then all that may go; some attempts fail, of some nothing is known."""
+        if now >= self.looks:
+            self.look(now)
+        if not self.serves:
+            return
+        for due, item, result in [o for o in self.out if o[0] <= now]:
+            self.out.remove((due, item, result))
+            self.volumes.ended(item, api.Outcome("", "", item.tries - 1, result, 0, False))
+            self.queue.appendleft(item)
+        while self.queue and self.queue[0].req.give_up < now:
+            self.queue.popleft()
+        for _ in range(30 if surge and writers and len(self.queue) < 30 else bool(writers)):
+            req = ask("r", now, units=min(unit + self.rng.randrange(3), 6.0), writers=writers)
+            self.volumes.asked(req, GOLD, now)
+            if surge:
+                self.queue.append(Item(req, READ, 0, now, now, 0))
+        while self.queue and not self.volumes.wait(self.queue[0], now):
+            item = self.queue.popleft()
+            if item.paid is None:
+                rule.charged.append((now, item.req.units))
+            self.volumes.charge(item)
+            item.tries += 1
+            fate = self.rng.choices([Result.OK, Result.MOOT, Result.NO_LINK, Result.RESET, Result.FULL],
+                                    [80, 3, 3, 3, 3])[0] if item.tries < 3 else Result.OK  # fmt: skip
+            if (fate in CAME or fate is Result.RESET and self.rng.random() < 0.5) and not item.done:
+                item.done = True  # it has come once
+                rule.came(now, item.req.units)
+            if fate is not Result.OK:
+                self.out.append((now + self.rng.randrange(1, 250_000), item, fate))
+
+
+CHANGE = st.tuples(st.sampled_from(["surge", "quiet", "upgrade", "kill", "join", "part"]), st.integers(0, 2),
+                   st.integers(5, 400))  # fmt: skip
+
+
+@runs(max_examples=100, deadline=None, phases=(Phase.generate, Phase.target))  # smaller ones say no more
+@given(st.lists(CHANGE, max_size=14), st.integers(1, 3), st.integers(1, 5), st.integers(0, 999))
+def test_all_processes_of_all_fronts_together_keep_a_limit(
+    changes: list[tuple[str, int, int]], fronts: int, unit: int, seed: int
+) -> None:
+    """Processes are replaced, the old one leaving after a moment and ending up to 3.6 s later, or killed and
+    back 0.2 s later; new fronts join a volume and others leave it, which each is told with its next request;
+    load comes and goes. No window passes the limit by more than the slack; in the end nothing is withheld."""
+    rng, now, surge = random.Random(seed), T0, True
+    with tempfile.TemporaryDirectory() as folder:
+        roots = [Path(folder) / str(f) for f in range(fronts)]
+        alive: list[list[Process]] = [[Process(root, rng, now)] for root in roots]
+        works, parted, rule = set(range(fronts)), 0, Rule(now)
+        plan: list[tuple[int, int, str, int, Process | None]] = []
+        for kind, front, ticks in changes:
+            plan.append((now := now + ticks * TICK, len(plan), kind, front % fronts, None))
+        over, now = now + 8_000_000, T0
+        while now < over:
+            now += TICK
+            for event in sorted((e for e in plan if e[0] <= now), key=lambda e: e[:2]):
+                plan.remove(event)
+                _, _, kind, front, of = event
+                if kind in ("surge", "quiet"):
+                    surge = kind == "surge"
+                elif kind == "join" and front not in works and now > parted + 2_100_000:
+                    works.add(front)  # a new one; one for one would be seen by none
+                    for gone in alive[front]:
+                        gone.shared.leave()
+                    alive[front] = [Process(roots[front], rng, now)]
+                elif kind == "part" and len(works) > 1:
+                    works.discard(front)
+                    parted = now
+                elif kind == "upgrade" and len(alive[front]) < 3:
+                    new = Process(roots[front], rng, now)
+                    for old in alive[front]:
+                        leaves = now + rng.randrange(100_000, 600_000)
+                        plan += [(leaves, 0, "leaves", front, old),
+                                 (leaves + rng.randrange(3_600_000), 1, "ends", front, old)]  # fmt: skip
+                    alive[front].append(new)
+                elif kind == "born":
+                    alive[front].append(Process(roots[front], rng, now))
+                elif kind == "leaves" and of in alive[front]:
+                    of.shared.leaves()
+                    of.look(now)
+                elif kind == "ends" and of in alive[front] or kind == "kill":
+                    for gone in [of] if of else alive[front][:]:
+                        alive[front].remove(gone)
+                        gone.shared.leave()
+                    if kind == "kill":
+                        plan.append((now + 200_000, 0, "born", front, None))
+            if not plan and now > over - 3_500_000:
+                surge = True
+            for front in range(fronts):
+                for process in alive[front]:
+                    process.turn(now, len(works) if front in works else 0, surge, rule, unit)
+        for process in [p for each in alive for p in each]:
+            process.shared.leave()
+    target(-rule.lowest)
+    assert rule.lowest >= -SLACK
+    assert sum(u for t, u in rule.charged if t > over - 3_000_000) >= 3 * RATE - 6.0 * fronts - 1.0
+
+
+@pytest.mark.parametrize(
+    ("result", "astray", "spent"),
+    [(r, False, 2.0) for r in (Result.ERROR, Result.FULL, Result.MOOT)]
+    + [(r, False, 4.0) for r in (Result.NO_LINK, Result.RESET, Result.TIMEOUT, Result.CANCELLED)]
+    + [(Result.MOOT, True, 2.0)],
+)
+def test_a_further_attempt_is_charged_unless_an_earlier_one_took_the_units(
+    result: Result, astray: bool, spent: float
+) -> None:
+    """A node that turned a request away as astray had it whole: nothing is given back."""
+    slow = api.Plan("gold", limit_rate=1e-9, limit_burst=16.0, limit_slack=16.0)
+    patient = api.RequestClass("read", 1_900_000, 2_000_000)
+    h = head(T0, up(), plans=(slow,), classes=(patient,))
+    feed(h, T0, ask("a"))
+    feed(h, T0 + 1000, replace(end("a", result), astray=astray))
+    feed(h, T0 + 600_000)
+    assert h.volumes["v"].limit.have == pytest.approx(8.0 - spent, abs=1e-6)
+    assert not h.items if astray else h.items["a"].tries == 2
+
+
+def test_a_volume_is_forgotten_once_its_store_is_full_and_comes_back_with_no_more() -> None:
+    slow = api.Plan("gold", limit_rate=0.25, limit_burst=16.0, limit_slack=4.0)
+    h = head(T0, up(), plans=(slow,))
+    late = T0 + 80_000_000
+    feed(h, late, ask("a", late, units=8.0))
+    feed(h, late, replace(end("a"), final=True))
+    seen = []
+    for k in range(1, 5):
+        feed(h, late + k * KEPT)
+        seen.append("v" in h.volumes)
+    assert seen == [True, True, True, False]  # silent for long enough after 20 s, and full after 32 s
+    feed(h, late + 5 * KEPT, ask("b", late + 5 * KEPT))
+    assert h.volumes["v"].limit.have == 14.0
+
+
+def test_a_part_follows_the_count_of_fronts() -> None:
+    """More at once, and what those who join may have is given up, spent or not; fewer once nobody sends what
+    it took before."""
+    volumes, now = Volumes(SET, T0), T0 + 10_000_000
+    shares = []
+    told = ((0, 1), (1, 2), (2, 1), (1_999_999, 2), (3_000_000, 1), (4_999_999, 1), (5_000_000, 1))
+    for at, writers in told:
+        volumes.asked(ask("r", writers=writers), GOLD, now + at)
+        limit = volumes["v"].limit
+        limit.fill(now + at)
+        shares.append((limit.most, limit.have == limit.most))
+    half, whole = (BURST / 2, True), (BURST, False)
+    assert shares == [(BURST, True), half, half, half, half, half, whole]
+    limit.have = 1.0
+    volumes.asked(ask("r", writers=4), GOLD, now + at)
+    assert limit.have == 1.0 - BURST * 3 / 4
+
+
+def test_parts_of_processes_never_add_up_to_more_than_one(tmp_path: Path) -> None:
+    old, new = Shared(tmp_path), Shared(tmp_path)
+    assert [(s.others(), s.part()) for s in (old, new)] == [(1, 0.5), (1, 0.5)]
+    old.leaves()
+    assert (old.part(), new.part()) == (LEAVING / (1 + LEAVING), 0.5)
+    assert (new.others(), new.part()) == (1, 1 / (1 + LEAVING))
+    with mock.patch("builtins.open", side_effect=OSError(24, "")):  # no descriptor is free
+        assert (new.others(), new.part()) == (1, 1 / (1 + LEAVING))
+    old.leave()
+    assert (new.others(), new.part()) == (0, 1.0)
+    new.leave()
+
+
+def test_a_front_that_another_process_stands_beside_sends_half() -> None:
+    """On sockets: a store of 8 is halved, and then fills half as fast."""
+    block = "& block b{0} / PUT /write / 000000000000000{0} / {1}\n"
+    Exchange(
+        "set settings.plans.0.neverOver 0.5\nset settings.plans.0.mostAtOnce 8.0\n"
+        "node n0 0\nclient z platform\nclock 100000000\nclient a platform\na >\n" + block.format(1, 1) +
+        "a <\n& done\nbeside\na >\n" + block.format(2, 4) + "a <\n& done\n"
+        "a >\n" + block.format(3, 1) + "until requests_taken 3\nclock 2000000\ncounter attempts_sent 2\n"
+        "clock 2100000\na <\n& done\ncounter attempts_sent 3\n"
+    ).play()  # fmt: skip
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -12,11 +12,12 @@
 
 from umberlead.core import interface as api
 from umberlead.core import linear as la
-from umberlead.core.buckets import NEVER, Store
+from umberlead.core.buckets import NEVER
 from umberlead.core.interface import Effect, NodeState, Result
 from umberlead.core.level import Level
 from umberlead.core.records import Item, Try
 from umberlead.core.retries import Retries
+from umberlead.core.volumes import Volumes
 from umberlead.core.weighted import Smooth
 from umberlead.recovery.warming import rest, warm
 
@@ -190,7 +191,7 @@
         start = max(self.virtual, self.last.get(volume, 0.0))
         heapq.heappush(self.tags, (start, self.live[volume], volume))
 
-    def prune(self, known: dict[str, "Volume"]) -> None:
+    def prune(self, known: Volumes) -> None:
         """Tags that no longer count go: of ever new volumes the tables would grow for ever."""
         self.last = {v: tag for v, tag in self.last.items() if tag > self.virtual and v in known}
         self.live = {v: number for v, number in self.live.items() if v in self.items}
@@ -202,19 +203,6 @@
         self.last[item.req.volume] = start + item.req.units * self.busy[item.plan] / weight
 
 
-class Volume:
-    """A volume's stores, this head's parts of them. The limit starts with half a part of the slack, at the
-    head's birth: a head that restarts can't know what it spent, so it never hands itself a full store. What
-    is due, the reserve or what the usual rate earns, is parted likewise and kept in the mean, on credit."""
-
-    def __init__(self, plan: api.Plan, writers: int, s: api.Settings, born: int, now: int) -> None:
-        rate, burst, slack = (x / writers for x in (plan.limit_rate, plan.limit_burst, plan.limit_slack))
-        self.limit = Store(rate, burst, min(slack / 2, burst), born) if rate else Store(1, NEVER, NEVER, now)
-        self.seen = now
-        due = max(plan.reserve, s.fair_worth * plan.rate) / writers
-        self.due = Store(due, due + s.mean_units, due + s.mean_units, now)
-
-
 class Head:
     """One head: hand it its events batch by batch, do what it says."""
 
@@ -235,7 +223,7 @@
         self.put_back: dict[str, tuple[int, int]] = {}  # taken out, and back again: restarted in between
         self.smooth, self.offered = Smooth(), dict[str, float]()
         self.asked: dict[int, float] = {}  # units by shard, of late
-        self.lanes, self.volumes = dict[int, Lane](), dict[str, Volume]()
+        self.lanes, self.volumes = dict[int, Lane](), Volumes(s, now)
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
         self.key_rests: dict[str, int] = {}
         self.stored = dict[str, int](), dict[str, int]()  # where new objects went; this span, last
@@ -269,6 +257,8 @@
                 self.dirty[item.shard] = None  # what it stood before may go
             elif isinstance(event, api.ByHand):
                 self.by_hand(event)
+            elif isinstance(event, api.Part):
+                self.volumes.share(now, event.part)
         while self.due and self.due[0][0] <= now:
             _, _, what, args = heapq.heappop(self.due)
             what(*args)
@@ -285,9 +275,8 @@
         self.at(self.now + INTERVAL, self.step)
 
     def prune(self) -> None:
-        """Forget volumes whose stores are full again; one with a limit is not handed a full one early."""
-        old = self.now - KEPT - max(c.deadline for c in self.s.classes)
-        self.volumes = {k: v for k, v in self.volumes.items() if v.seen > old or v.limit.most < NEVER}
+        """Forget volumes whose stores are full again."""
+        self.volumes.forget(self.now, self.now - KEPT - max(c.deadline for c in self.s.classes))
         for lane in self.lanes.values():
             lane.prune(self.volumes)
         self.stored = ({}, self.stored[0])
@@ -371,10 +360,7 @@
         first = self.retries.first(req, req.give_up - patience if self.s.marked and req.repeat else now)
         aim_at = min(cls.aim + first, req.give_up)
         item = self.items[req.request] = Item(req, cls, self.plans[req.plan], now, aim_at, next(self.seq))
-        if req.volume not in self.volumes:
-            plan, writers = self.s.plans[item.plan], max(req.writers, 1)
-            self.volumes[req.volume] = Volume(plan, writers, self.s, self.born, now)
-        self.volumes[req.volume].seen = now
+        self.volumes.asked(req, self.s.plans[item.plan], now)
         if req.shard >= 0:
             self.asked[req.shard] = self.asked.get(req.shard, 0.0) + req.units
         if cls.ordered and req.key is not None:
@@ -461,7 +447,7 @@
             if item is None:
                 heapq.heappop(lane.tags)
                 continue
-            units, stores = item.req.units, self.volumes[volume]
+            units, owed = item.req.units, self.volumes[volume].due
             when, view = self.pick(shard, units)
             press = view.level.read(self.now) if view else 0.0
             takes = press * (view.target if view else 0) * max(units / self.s.mean_units, SMALL)
@@ -472,8 +458,8 @@
                 continue
             if view is None or when > self.now:
                 return self.at(when, self.dirty.update, {shard: None}) if view else None
-            wait = 0 if item.tries else stores.limit.wait(self.now, units)
-            due = not stores.due.wait(self.now, min(units, stores.due.most))
+            wait = self.volumes.wait(item, self.now)
+            due = not owed.wait(self.now, min(units, owed.most))
             value = self.value(item, due)
             early = press > CALM and self.now + PATIENT * view.target < item.aim_at
             if wait or early or value < press - 1:
@@ -483,8 +469,8 @@
             if item.tries:
                 self.resent.append(self.now)
             else:
-                stores.limit.have -= units
-                stores.due.have -= units * due
+                owed.have -= units * due
+            self.volumes.charge(item)
             lane.take(item, self.control.share[item.plan] * max(value, FLOOR))
             self.tag(shard, volume)
             item.out[item.tries] = view.send(self.now, units)
@@ -525,8 +511,7 @@
         if tried.units or e.result is Result.OK:  # what was written off has been judged
             view.answer(self.now, tried, e.result, e.elapsed, bool(lane and lane.items))
         self.dirty[item.shard] = None
-        if e.result is Result.MOOT and e.final and item.tries == 1 and item.req.volume in self.volumes:
-            self.volumes[item.req.volume].limit.have += item.req.units  # its client left: it was not sent
+        self.volumes.ended(item, e)
         if e.result is Result.OK and item.req.shard < 0 and item.req.key is not None:
             self.stored[0][item.req.key] = item.shard
         unsure = e.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -281,6 +281,10 @@
     def by_hand(self, node: str, out: bool, at: int) -> None:
         self._post(api.ByHand(node, out, at))
 
+    def has_part(self, part: float) -> None:
+        """Of the volumes' limits this process has `part`, to 1, of its front's."""
+        self._post(api.Part(part))
+
     def pool(self) -> tuple[int, int]:
         """Nodes listed, and those of them left out, by hand or as they refuse to be reached."""
         head = self.head
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -195,7 +195,15 @@
     at: int
 
 
-Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Of what its front may send for a volume this process has `part`, above 0, to 1: processes that stand
+    beside each other never have more than 1 together. Told at the start, and again with each change."""
+
+    part: float
+
+
+Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand | Part
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -95,6 +95,7 @@
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
         self.shared, self.processes = Shared(conf.state), 1
+        self.part = 0.0  # of what this front may send for a volume; none was told yet
         if self.shared.fault:
             self.log.warning("nothing_shared", why=self.shared.fault)
         self.marks: dict[str, int] = {}  # chunk servers out by hand
@@ -155,6 +156,9 @@
             self.log.info("processes", now=processes, before=self.processes)
             self.processes = processes
             self.limit()
+        if (part := self.shared.part()) != self.part:
+            self.part = part
+            self.engine.has_part(part)
         for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
             self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
             by_hand = self.engine.by_hand if self.lists is None else self.lists.mark
@@ -299,6 +303,9 @@
             return
         self.told_to_stop = True
         self.log.info("stopping", open=len(self.engine.tickets))
+        self.shared.leaves()
+        if self.servers:  # it has less of what the volumes may have from here on
+            self.look()
         for server in self.servers:
             server.hurry()
         for clients in self.groups:
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -1,6 +1,7 @@
 """What this process and the one that replaces it both see, as files under $TMPDIR: which processes stand
 behind the front's addresses, and which chunk servers operators took out. It is the only thing written."""
 
+import contextlib
 import fcntl
 import os
 import secrets
@@ -9,6 +10,8 @@
 from typing import IO
 from urllib.parse import quote, unquote
 
+LEAVING = 0.25  # of another's part, for one that ends: its clients go over with their next answer
+
 
 class Shared:
     def __init__(self, root: Path | None) -> None:
@@ -16,6 +19,7 @@
         self.root, self.fault = root, ""
         self._name, self._marks = secrets.token_hex(8), dict[str, int]()
         self._lock: IO[str] | None = None
+        self._weight, self._beside = 1.0, list[float]()
         if root is None:
             return
         try:
@@ -27,10 +31,27 @@
             self.root, self.fault = None, str(fault)
 
     def others(self) -> int:
-        """Processes beside this one. One that was killed left its file, but not the lock on it."""
+        """Processes beside this one. One that was killed left its file, but not the lock on it. Where they
+        can't be seen, for want of a descriptor, they are what they were."""
         if self.root is None:
             return 0
-        return sum(n != self._name and self._lives(self.root / "fronts" / n) for n in self._list("fronts"))
+        with contextlib.suppress(OSError):
+            names = [n for n in os.listdir(self.root / "fronts") if n != self._name]
+            self._beside = [w for n in names if (w := self._lives(self.root / "fronts" / n))]
+        return len(self._beside)
+
+    def part(self) -> float:
+        """This process's part of what its front may send, as of the last look at `others`. One that leaves
+        has less before the others know of it, so the parts never add up to more than 1."""
+        return self._weight / (self._weight + sum(self._beside))
+
+    def leaves(self) -> None:
+        """This process was told to end, and the others are to know."""
+        self._weight = LEAVING
+        if self._lock is not None:
+            with contextlib.suppress(OSError):  # they give it an even part
+                self._lock.write("leaving")
+                self._lock.flush()
 
     def _list(self, folder: str) -> list[str]:
         assert self.root is not None
@@ -40,15 +61,17 @@
             return []
 
     @staticmethod
-    def _lives(path: Path) -> bool:
+    def _lives(path: Path) -> float:
+        """Its weight, 0 for none. OSError if that can't be seen."""
         try:
             with open(path) as file:
-                fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+                try:
+                    fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
+                except BlockingIOError:
+                    return LEAVING if file.read(1) else 1.0
+        except FileNotFoundError:
+            pass
+        return 0.0
 
     def marks(self) -> dict[str, int]:
         """Chunk servers taken out by hand, and when, in us of Unix time."""
