Look at a client's own connection as an attempt begins, and begin none where it left

A front that stood still (SIGSTOP, a busy core, a collection) runs its timers and posted decisions before it looks at what can be read, so it also wrote requests of clients whose end stood unread with the system.

Checked by tests that let the client leave between a decision and its carrying out, as a connection comes up, or in a timer's turn (real sockets, no sleeping): with the program as it was, requests ran in the fair queue, at a node that rests, behind another on the connection, on a kept connection, on one that came up in that turn, with reading paused, behind noise, in a hand-over, and as objects' blocks, manifests, windows, parts and completions. Ruled out, held before as well: own retries and warming nodes without a kept connection (a dial takes a turn more, in which the end is read), what waits behind an unread answer, a request partly written when its client leaves.

Now `Ask.left` looks (one poll of the client's connection, which the engine does not know) in `_send` as the last bar, and before the write on a new connection; where the client left that is acted on at once, as by the event. A module's decisions are matched to their requests before the first is carried out: with one client all of an object's blocks may go, and each Send is still owed its outcome, or its units stay on the node's account.

--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -1,17 +1,186 @@
 """A client that has left is owed nothing, and nothing of its is sent on: whatever its request waits for,
 and however it leaves. Judged by what chunk servers were asked; nothing here waits for time to pass."""
 
+import asyncio
+import os
+import socket
+import struct
+import time
+from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
+from unittest import mock
 
 import pytest
 
-from tests.exchange import Exchange
+from tests.exchange import PATIENCE, Exchange, Peer
 from tests.helpers import T0, ask, end, feed, head, up
 from umberlead.core import interface as api
+from umberlead.front import Front
+from umberlead.net.attempts import NodeConnection
+from umberlead.net.http import LEFT, ServerConnection
 
 WAYS = ["close", "half", "reset"]
 
 
+class Leaving(Exchange):
+    """With clients that leave within a turn of the front: the system has the news, the front was not told.
+
+    plain NAME FRONT    such a client: its socket is the test's own, and nothing of it is read
+    NAME slow           little of what the front writes to it fits with the system
+    NAME WAY at send N  it leaves once the module's Nth Send of its is decided, and not carried out
+    NAME WAY at dial    it leaves once the next connection to a chunk server is up, and was not written to
+    NAME WAY still US   it leaves while the front stands still for so long; what is due then runs first
+    NAME WAY unread     it leaves once an answer to it stands unread in the front, having read some of it
+    NAME WAY            it leaves now
+    NAME behind, paused waits until a request of the client's stands behind another; until it is not read on
+    NAME deaf, hears    a chunk server reads nothing on connections that come; it reads all of it
+    partly              waits until a request is partly written
+    clean               nothing of any request is left with the front, its module, or a node's account, once
+                        those that ended their sending have closed"""
+
+    def __init__(self, of: str) -> None:
+        super().__init__(of)
+        self.plain: dict[str, socket.socket] = {}
+        self.half: list[socket.socket] = []  # open to the end
+        self.deaf = set[str]()  # chunk servers
+
+    async def _step(self, words: list[str], lines: list[str]) -> None:
+        match words:
+            case ["plain", name, which]:
+                self.plain[name] = sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                sock.connect((await self._start()).servers[which == "objects"].address)
+            case [name, ">"] if name in self.plain:
+                self.plain[name].sendall(b"".join(self._bytes(line, False) for line in lines))
+            case [name, "slow"]:
+                fd = (await self._known(name)).transport.get_extra_info("socket").fileno()
+                with socket.socket(fileno=os.dup(fd)) as of:
+                    of.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            case [name, way, "at", "send", number]:
+                self._at_send(await self._start(), name, way, int(number))
+            case [name, way, "at", "dial"]:
+                made = NodeConnection.connection_made
+
+                def first(conn: NodeConnection, transport: Any) -> None:
+                    if name in self.plain:
+                        self._leave(name, way)
+                    made(conn, transport)
+
+                self.patches.enter_context(mock.patch.object(NodeConnection, "connection_made", first))
+            case [name, way, "still", us]:
+                front, loop = await self._start(), asyncio.get_running_loop()
+                over = loop.create_future()
+
+                def stand() -> None:  # as a timer: those run before what can be read is looked at
+                    self._leave(name, way)
+                    self.clock.added += int(us)
+                    front.wheel.turn()
+                    over.set_result(None)
+
+                loop.call_later(0.002, stand)
+                await over
+            case [name, "behind" | "paused" as what]:
+                conn = await self._known(name)
+                await self._until(conn.deaf if what == "paused" else lambda: bool(conn.waiting))
+            case [name, way] if name in self.plain and way in WAYS:
+                self._leave(name, way)
+            case [name, way, "unread"]:
+                conn = await self._known(name)
+                await self._until(lambda: conn.unread and bool(conn.waiting))
+                self.plain[name].recv(1 << 20)
+                self._leave(name, way)
+            case [name, "deaf"]:
+                node, accept = self.nodes[name], self.nodes[name].accept
+                self.deaf.add(name)
+
+                def quiet(scripted: bool) -> Peer:
+                    peer = accept(scripted)
+                    if name in self.deaf:
+                        begin = peer.connection_made
+                        peer.connection_made = lambda t: (begin(t), t.pause_reading())  # type: ignore
+                    return peer
+
+                self.patches.enter_context(mock.patch.object(node, "accept", quiet))
+            case [name, "hears"]:
+                self.deaf.discard(name)
+                for peer in self.nodes[name].peers:
+                    peer.transport.resume_reading()
+            case ["partly"]:
+                front = await self._start()
+                await self._until(lambda: any(c._paused and not c.written for c in front.pool.slots))
+            case ["clean"]:
+                front = await self._start()
+                for sock in self.half:
+                    sock.close()
+                await self._until(lambda: not self._kept(front), lambda: str(self._kept(front)))
+            case _:
+                await super()._step(words, lines)
+
+    @staticmethod
+    def _kept(front: Front) -> dict[str, Any]:
+        engine = front.engine
+        kept = {
+            "active": engine.active, "tickets": len(engine.tickets), "items": list(engine.head.items),
+            "held": sum(group.held for group in front.groups),
+            "out": sum(v.out for v in engine.head.nodes.values()),
+            "tasks": sum(len(getattr(h, "tasks", ())) for h in front.handlers),
+        }  # fmt: skip
+        return {name: what for name, what in kept.items() if what}
+
+    @staticmethod
+    async def _until(ready: Callable[[], bool], told: Callable[[], str] = str) -> None:
+        end = time.monotonic() + PATIENCE
+        while not ready():
+            assert time.monotonic() < end, told()
+            await asyncio.sleep(0.001)
+
+    async def _known(self, name: str) -> ServerConnection:
+        await self._until(lambda: self._conn(name) is not None)
+        return self._conn(name)  # type: ignore[return-value]
+
+    def _conn(self, name: str) -> ServerConnection | None:
+        if name in self.plain:
+            where = self.plain[name].getsockname()
+        else:
+            where = self.peers[name].transport.get_extra_info("sockname")
+        known = (conn for group in (self.front.groups if self.front else []) for conn in group.slots)
+        return next((c for c in known if c.transport.get_extra_info("peername") == where), None)
+
+    def _at_send(self, front: Front, name: str, way: str, number: int) -> None:
+        handle, seen = front.engine.head.handle, 0
+
+        def counted(now: int, events: list[api.Event]) -> list[api.Action]:
+            nonlocal seen
+            acts = handle(now, events)
+            for act in acts:
+                if isinstance(act, api.Send):
+                    ticket = front.engine.tickets.get(int(act.request.partition(".")[0]))
+                    assert ticket is not None
+                    seen += ticket.ask.name[:1] in (b"", name.encode())  # an object's blocks have none
+                    if seen == number and name in self.plain:
+                        self._leave(name, way)
+            return acts
+
+        self.patches.enter_context(mock.patch.object(front.engine.head, "handle", counted))
+
+    def _leave(self, name: str, way: str) -> None:
+        """Within one turn of the loop: until the system has it."""
+        conn, sock = self._conn(name), self.plain.pop(name)
+        assert conn is not None
+        if way == "half":
+            sock.shutdown(socket.SHUT_WR)
+            self.half.append(sock)
+        else:
+            if way == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+        end = time.monotonic() + PATIENCE
+        while not conn.coming() & LEFT:
+            assert time.monotonic() < end
+        assert not conn.left  # the front was not told
+
+
 def block(n: int) -> str:
     return f"{n:016x}"
 
@@ -24,7 +193,12 @@
 
 
 def play(*parts: str) -> None:
-    Exchange("".join(parts)).play()
+    made = Leaving("".join(parts))
+    try:
+        made.play()
+    finally:
+        for sock in (*made.plain.values(), *made.half):
+            sock.close()
 
 
 @pytest.mark.parametrize("way", WAYS)
@@ -89,9 +263,10 @@
     play(
         "node n0 0\nn0 next hold\nclient a platform\nclient b platform\n",
         asks("a", 1), "until attempts_written 1\na >\n", f"& block y / PUT /write / {block(99)} / 1\n",
-        f"a >\n{behind}| X-Pad: {'p' * (0 if more == 1 else 20_000)}\n",
+        f"a behind\na >\n{behind}| X-Pad: {'p' * (0 if more == 1 else 20_000)}\n",
+        "" if more == 1 else "a paused\n",
         f"a {way}\nuntil clients_gone 1\nn0 release 1\nuntil attempts_ok 1\n",
-        asks("b", 2), DONE.format("b"), "writes n0 PUT 2\ncounter requests_taken 2\n",
+        asks("b", 2), DONE.format("b"), "writes n0 PUT 2\ncounter requests_taken 2\nclean\n",
     )  # fmt: skip
 
 
@@ -114,7 +289,7 @@
         "node n0 0\nn0 next hold\nclient o objects\nclient b platform\n",
         "o >\n| PUT /scans/k HTTP/1.1\n| Content-Length: 4096\n|\n@ 0 4096\nuntil attempts_written 1\n",
         f"o {way}\nuntil clients_gone 1\nn0 release 1\nuntil attempts_ok 1\n",
-        asks("b", 2), DONE.format("b"), "writes n0 PUT 2\ncounter attempts_sent 2\n",
+        asks("b", 2), DONE.format("b"), "writes n0 PUT 2\ncounter attempts_sent 2\nclean\n",
     )  # fmt: skip
 
 
@@ -156,6 +331,144 @@
     )  # fmt: skip
 
 
+# In one turn the front decides, or its connection is up, and the client has left without the front's knowing.
+# For each wait: what leads to it, how the client leaves and what lets an attempt begin, what follows. Where a
+# connection is kept the attempt is written with the decision.
+
+KEPT = "patch umberlead.net.attempts REST 0\nnode n0 0\n"
+BUSY = (
+    KEPT
+    + "n0 next hold hold\nclient a platform\nclient b platform\nplain c platform\n"
+    + asks("a", 1, 6)
+    + asks("b", 2, 6)
+    + "until attempts_written 2\n"
+)
+FREE, FREED = "n0 release 1\n", "n0 release 1\n" + DONE.format("a") + DONE.format("b")
+UNSWEPT = "patch umberlead.front SWEEP 600000000\n"
+TRIED = KEPT + "n0 next full\nplain c platform\n" + asks("c", 3) + "until attempts_full 1\n"
+RESTS = KEPT + "n0 next full\nclient a platform\nplain c platform\n" + asks("a", 1)
+RESTS += "until attempts_full 1\n" + asks("c", 3) + "until requests_taken 2\n"
+WARMS = (
+    "set settings.extra.coldUnits 5\nset settings.guarantees.coldShare 0.2\n"
+    "set settings.guarantees.fallMultiple 4\nset settings.guarantees.overloadFor 1000000\n"
+    "set settings.guarantees.warmUp 4000000\nnode n0 0\nstarted n0\nplain c platform\n"
+    + asks("c", 3, 6)
+    + "until requests_taken 1\ncounter attempts_sent 0\n"
+)
+AHEAD = f"c >\n& block y / PUT /write / {block(99)} / 1\nc behind\nc >\n"
+AHEAD += "".join(f"& block x{k} / PUT /write / {block(100 + k)} / 1\n" for k in range(60))
+AHEAD += f"| X-Pad: {'p' * 20_000}\n"
+NOISE = f"c >\n| noise\nuntil bad_requests_400 1\nc >\n| {'x' * 40_000}\n"
+QUEUED = asks("c", 3, 6) + "until requests_taken 3\n"
+LEAVES = {
+    "in the fair queue": (BUSY + QUEUED, "c {} at send 1\n" + FREE, FREED),
+    "in the queue, reading paused": (UNSWEPT + BUSY + QUEUED + AHEAD, "c paused\nc {}\n" + FREE, FREED),
+    "in the queue, behind noise": (UNSWEPT + BUSY + QUEUED + NOISE, "c paused\nc {}\n" + FREE, FREED),
+    "between tries": (TRIED, "c {} at send 1\nclock 2000000\n", ""),
+    "between tries, the front still": (TRIED, "c {} still 2000000\n", ""),
+    "at a node that rests": (RESTS, "c {} at send 1\nclock 2000000\n", DONE.format("a")),
+    "at a node that rests, the front still": (RESTS, "c {} still 2000000\n", DONE.format("a")),
+    "at a node that warms": (WARMS, "c {} at send 1\nclock 5000000\n", ""),
+    "at a node that warms, the front still": (WARMS, "c {} still 5000000\n", ""),
+    "behind another on its connection": (
+        KEPT + "n0 next hold\nplain c platform\n" + asks("c", 1)
+        + "until attempts_written 1\n" + asks("c", 3),
+        "c {} at send 1\n" + FREE, "",
+    ),
+    "for a kept connection": (
+        KEPT + "client b platform\nplain c platform\n" + asks("b", 1) + DONE.format("b")
+        + "c {} at send 1\n", asks("c", 3), "",
+    ),
+    "for its connection": (
+        "node n0 0\nplain c platform\ndials hold\n" + asks("c", 3)
+        + "until attempts_sent 1\n",
+        "c {} at dial\ndials go\n", "until attempts_moot 1\ncounter attempts_no_link 0\n",
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("wait", LEAVES)
+def test_nothing_begins_for_a_client_that_left_in_the_same_turn(wait: str, way: str) -> None:
+    """Nothing of it goes out, and others are served after it as if it had not been."""
+    begin, leaves, after = (part.format(way) for part in LEAVES[wait])
+    play(begin, leaves, "until clients_gone 1\n", after, "client d platform\n", asks("d", 4, 6),
+         DONE.format("d"), f"n0 ran {block(3)} 0\nclean\ncounter clients_gone 1\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_nothing_begins_of_one_that_left_while_its_process_hands_over(way: str) -> None:
+    play(BUSY, QUEUED, "client d platform\nbeside\nsignal TERM\n",
+         "d >\n| GET /healthz HTTP/1.1\n|\nd <\n| HTTP/1.1 {~}\n", f"c {way} at send 1\n", FREE,
+         f"until clients_gone 1\nn0 release 1\nn0 ran {block(3)} 0\nclean\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_nothing_begins_behind_an_answer_that_its_client_never_read(way: str) -> None:
+    """The answer can go on in the turn in which the client turns out to have left."""
+    big = f"{{}} >\n| {{}} /{{}}?block={block(9)} HTTP/1.1\n| X-Call-Id: {{}}9\n| X-Plan: gold\n"
+    big += "| X-IO: volume=b4,units=1,shard=0\n"
+    well = "c >\n| GET /healthz HTTP/1.1\n|\n"
+    play("node n0 0\nclient b platform\nplain c platform\n", big.format("b", "PUT", "write", "b"),
+         "| Content-Length: 60000\n|\n@ 0 60000\n", DONE.format("b"), well, "c slow\n",
+         big.format("c", "GET", "read", "c"), "|\nuntil attempts_ok 2\n", asks("c", 3), f"c {way} unread\n",
+         asks("b", 4), DONE.format("b"),
+         f"n0 ran {block(3)} 0\nclean\ncounter requests_taken 3\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_request_that_is_partly_written_is_not_written_on(way: str) -> None:
+    """Its chunk server reads nothing for now: the rest must not follow."""
+    play("node n0 0\nn0 deaf\nclient a platform\nclient b platform\nmemory 100000000\n",
+         f"a >\n| PUT /write?block={block(1)} HTTP/1.1\n& ask a1 / 0\n| Content-Length: 25165824\n|\n",
+         "% 96 @ 0 262144\n", f"partly\ncounter attempts_written 0\na {way}\nuntil clients_gone 1\n",
+         "until attempts_moot 1\nn0 hears\n", asks("b", 2), DONE.format("b"),
+         f"n0 ran {block(1)} 0\nwrites n0 PUT 1\nclean\n")  # fmt: skip
+
+
+PUT = "{} >\n& put /scans/k / {}\n@ 0 {}\n"
+PART = "{} >\n& put /scans/big?partNumber=1&uploadId={{id}} / {}\n@ 0 {}\n"
+CREATE = "p >\n| POST /scans/big?uploads HTTP/1.1\n|\np <\n& created big / id\n"
+OBJECTS = KEPT + "plain o objects\nclient p objects\n" + PUT.format("p", 4096, 4096) + "p <\n& stored e0\n"
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("begun", [0, 1, 3], ids=["first block", "next block", "manifest"])
+def test_no_block_of_an_object_begins_whose_client_left_in_the_same_turn(begun: int, way: str) -> None:
+    play(OBJECTS, f"o {way} at send {begun + 1}\n", PUT.format("o", 3072, 3072), "until clients_gone 1\n",
+         f"clean\nwrites n0 PUT {5 + begun}\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("method", ["PUT", "GET"])
+def test_blocks_that_were_to_begin_together_have_each_their_outcome(method: str, way: str) -> None:
+    """At the first one the client turns out to have left: no node keeps the others' units on its account."""
+    get = method == "GET"
+    play("set objects.parallel 4\n", OBJECTS, f"o {way} at send {1 + get}\n",
+         "o >\n| GET /scans/k HTTP/1.1\n|\n" if get else PUT.format("o", 4096, 4096),
+         f"until clients_gone 4\nclean\nn0 ran GET {int(get)}\nwrites n0 PUT 5\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("begun", [0, 2, 6], ids=["manifest", "block", "window after the head"])
+def test_no_read_of_an_object_begins_whose_client_left_in_the_same_turn(begun: int, way: str) -> None:
+    play(OBJECTS, PUT.format("p", 8192, 8192), "p <\n& stored e\n", f"o {way} at send {begun + 1}\n",
+         "o >\n| GET /scans/k HTTP/1.1\n|\nuntil clients_gone 1\nclean\n",
+         f"n0 ran GET {begun}\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_an_upload_s_parts_and_completion_that_did_not_begin_are_the_retry_s(way: str) -> None:
+    """The one that left is known to have stored some blocks, or nothing; no block runs twice."""
+    done = "| POST /scans/big?uploadId={id} HTTP/1.1\n| Content-Length: 135\n|\n"
+    done += "= <CompleteMultipartUpload><Part><PartNumber>1</PartNumber><ETag>{e}</ETag></Part>"
+    done += "</CompleteMultipartUpload>\n"
+    play(OBJECTS, CREATE, f"o {way} at send 3\n", PART.format("o", 4096, 4096), "until clients_gone 1\n",
+         "clean\nwrites n0 PUT 7\n", PART.format("p", 4096, 4096), "p <\n& stored e\nwrites n0 PUT 9\n",
+         f"plain q objects\nq {way} at send 1\nq >\n{done}until clients_gone 2\nclean\nwrites n0 PUT 9\n",
+         f"p >\n{done}p <\n| HTTP/1.1 200 OK\nwrites n0 PUT 10\n")  # fmt: skip
+
+
 @pytest.mark.parametrize("order", ["left first", "outcome first"])
 def test_a_plan_s_limit_is_not_charged_for_what_was_not_sent(order: str) -> None:
     """Both orders within one batch; where it may have run, it stays charged."""
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -47,6 +47,7 @@
     repeat: bool = False
     name: bytes = b""  # the client's own for it; one request at a time may bear it
     streams: bool = False  # whether the front can pass on a long answer as it comes
+    left: Callable[[], bool] | None = None  # looks whether its client has left; the front acts on it at once
 
 
 @dataclass(slots=True)
@@ -226,6 +227,17 @@
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
 
+    def client_waits(self, ticket: Ticket) -> bool:
+        """Whether its client still waits, looked for at this moment: where a front is busy or stood still,
+        news that it left comes behind the turn that begins an attempt. If it left, that is acted on here."""
+        if ticket.answered or ticket.forsaken:
+            return False
+        if ticket.ask.left is None or not ticket.ask.left():
+            return True
+        if not ticket.forsaken:  # by its front, in that look
+            self.gone(ticket)
+        return False
+
     def forsake(self, ticket: Ticket) -> None:
         """Its client left, and a front keeps account of what ran: no attempt is begun any more, and the
         answer comes as soon as it is known what became of one that is out."""
@@ -343,15 +355,21 @@
             return
         if self.observer is not None:
             self.observer(now, acts)
-        for act in acts:
+        # All are found before any is carried out: at one of them its client may turn out to have left, with
+        # other requests of its own, and each Send is owed an outcome.
+        for act, ticket in [(act, self._named(act)) for act in acts]:
             if isinstance(act, api.SetTimer):
                 self.wheel.at(now + act.delay, self._post, api.Wake(act.label))
             elif isinstance(act, api.Note):
                 self.log("module_note", text=act.text)
-            elif isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel):
-                ticket = self.tickets.get(int(act.request.partition(".")[0]))
-                if ticket is not None and ticket.id == act.request:
-                    self._act(ticket, act)
+            elif isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel) and ticket is not None:
+                self._act(ticket, act)
+
+    def _named(self, act: api.Action) -> Ticket | None:
+        if not isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel):
+            return None
+        ticket = self.tickets.get(int(act.request.partition(".")[0]))
+        return ticket if ticket is not None and ticket.id == act.request else None
 
     def _act(self, ticket: Ticket, act: api.Send | api.Refuse | api.Fail | api.Cancel) -> None:
         if isinstance(act, api.Send):
@@ -380,6 +398,7 @@
             or number >= self.settings.max_attempts
             or now >= ticket.ask.give_up
             or (ticket.may_have_run and self.classes[ticket.ask.class_name].effect is Effect.UNSAFE)
+            or not self.client_waits(ticket)
         )
         if barred or self.carrier is None:
             self.counters.add("attempts_barred")
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -85,6 +85,7 @@
         )  # fmt: skip
         self.engine.carrier = self.pool
         self.pool.takes_new = self.engine.takes_new
+        self.pool.client_waits = self.engine.client_waits
         self.rooms: Any = None  # what decides by rooms, where the configuration has them
         if conf.rooms is not None:
             from umberlead.rooms.joined import join
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -297,7 +297,9 @@
             SERVED_READ if body is None else frozenset((200,)),
         )
         until = min(give_up, self.engine.clock() + cls.deadline)
-        ask = Ask(op.class_name, call.plan, volume, block, shard, units, until, out, hosts)
+        ask = Ask(
+            op.class_name, call.plan, volume, block, shard, units, until, out, hosts, left=call.conn.has_left
+        )  # fmt: skip
         ticket: Ticket = self.engine.take(ask, lambda answer: settle(ended, answer))
         call.open.add(ticket)
         try:
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -103,7 +103,7 @@
             self.engine.counters.add("bad_requests_400")
             conn.reply(400, (), f"{fault}\n".encode())
             return
-        conn.context = None
+        conn.context, ask.left = None, conn.has_left
         try:
             ticket = self.engine.take(ask, lambda answer: self._answer(conn, message, answer))
         except Duplicate as fault:
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -15,7 +15,7 @@
 
 from umberlead.config import Address
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Attempt, Engine, Reply
+from umberlead.core.engine import Attempt, Engine, Reply, Ticket
 from umberlead.core.interface import Result
 from umberlead.core.slots import Slots
 from umberlead.core.wheel import Timer, Wheel
@@ -123,6 +123,8 @@
         if not self.pool.takes_new(self.attempt.node):
             self.pool.counters.add("node_connections_too_late")  # it drains, or went, while this came up
             return self.give_up(Result.MOOT)
+        if self.attempt is not None and not self.pool.client_waits(self.attempt.ticket):
+            return self.give_up(Result.MOOT)
         self._write()
 
     def quiet(self) -> bool:
@@ -567,6 +569,7 @@
         # None: anywhere
         self.idle: dict[Address, list[NodeConnection]] = {}
         self.takes_new: Callable[[str], bool] = lambda node: True  # by the list as it stands
+        self.client_waits: Callable[[Ticket], bool] = lambda ticket: True  # looked for as it is written
         self.risk = 0.0
         self.late = 2 * WORTH  # part of slow dials that come up
         self.dials: dict[Address, list[NodeConnection]] = {}  # not up yet, the oldest first
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -131,8 +131,7 @@
             idle = min(idle, SPARE_TIME)
         for conn in self.slots:
             if conn.deaf() and conn.coming() & LEFT:
-                conn.leave()
-                conn.transport.abort()
+                conn.drop()
             elif conn.unread:
                 if conn.stuck(now):
                     conn.transport.abort()
@@ -357,6 +356,12 @@
             self.open = None
             self.handler.gone(self)
 
+    def drop(self) -> None:
+        """It left, by the system's word: the news of that stands unread."""
+        self.clients.counters.add("clients_left_unseen")
+        self.leave()
+        self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         if self.ended or self._bad is not None:
             # Read on for a moment, so that the answer is not lost to a reset; but not 60 MB of it.
@@ -546,8 +551,7 @@
                 self.refuse(503, "too many connections", target)
                 return
             if self.coming() & LEFT:  # it left while this was not read, or not its turn
-                self.leave()
-                self.transport.abort()
+                self.drop()
                 return
             message = self.open = self.waiting.popleft()
             if not message.keep_alive:
@@ -718,6 +722,13 @@
         told = self.coming()
         return bool(told & select.POLLIN) and not told & LEFT
 
+    def has_left(self) -> bool:
+        """Whether the client ended its sending, closed or reset, by the system's word at this moment: where
+        reading is paused, or the front is busy, the news waits. If so, what is open goes within this call."""
+        if not self.left and (self.transport.is_closing() or self.coming() & LEFT):
+            self.drop()
+        return self.left
+
     def deaf(self) -> bool:
         """Reading is paused, so a client that leaves goes unseen."""
         return not self.left and not self.transport.is_closing() and not self.transport.is_reading()
