Deal out exactly the descriptors there are, and keep marks and SIGHUP when none is left

Now the sum is `sockets`, for one listener or two, down to 4 + 2 a listener beside what is held (a property over 32 to 100,000); what only some configurations need is counted where they name it; the system's limit counts where it is lower; one descriptor is kept back and lent for the configuration's file and an operator's mark; what was seen last of the shared state stands.

--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -19,7 +19,7 @@
 from umberlead.core.wheel import Wheel
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
-from umberlead.limits import BODY_MOST, deal, held
+from umberlead.limits import BODY_MOST, Reserve, deal, granted, held, to_come
 from umberlead.net.attempts import IDLE_PART, Pool
 from umberlead.net.discovery import Watch
 from umberlead.net.http import Clients, Handler, Listener
@@ -62,7 +62,9 @@
     """The parts of one process, wired together."""
 
     def __init__(self, conf: config.Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.conf, self.loop, self.held = conf, loop, held()
+        self.conf, self.loop, self.reserve = conf, loop, Reserve()
+        descriptors, memory = held()
+        self.held = descriptors + to_come(conf), memory
         self.counters = Counters()
         self.syslog = Syslog(conf.collector, self.counters)
         self.log = logger(conf.name, lambda: self.conf.log_level, self.syslog)
@@ -135,13 +137,14 @@
         """The caps that follow from the configuration, at the start and with each reload."""
         conf = self.conf
         # Two processes of a front have one front's limits between them.
-        of = deal(conf.sockets // self.processes, conf.memory // self.processes, *self.held)
+        sockets, memory = granted(conf.sockets) // self.processes, conf.memory // self.processes
+        of = deal(sockets, memory, *self.held, max(len(self.groups), 1))
         self.pool.most, self.pool.memory, self.pool.head_most = of.nodes, of.answers, of.head
         self.pool.answer_most = of.answer
         self.pool.idle_time = int(conf.keepalive * IDLE_PART)
         self.engine.names_most, self.syslog.most = of.names, of.lines
         for group in self.groups:
-            group.most, group.idle = max(of.clients // len(self.groups), 1), conf.client_idle
+            group.most, group.idle = of.clients, conf.client_idle
             group.memory, group.head_most = of.bodies // len(self.groups), of.head
         for _, group in self.doors:
             group.most, group.memory, group.head_most = of.doors, BODY_MOST, of.head
@@ -168,8 +171,9 @@
 
     def mark(self, node: str, out: bool) -> None:
         """An operator's call: it holds once it is answered."""
-        self.shared.mark(node, out)
-        self.look()
+        with self.reserve.lent():  # what was answered must hold
+            self.shared.mark(node, out)
+            self.look()
 
     def clients(self) -> Clients:
         made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
@@ -239,7 +243,9 @@
             return
         for handler, group, address in ready:
             self.listen(handler, group, address)
-        self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, descriptors=conf.sockets)
+        dealt = {"descriptors": granted(conf.sockets), "nodes": self.pool.most}
+        dealt["clients"] = sum(group.most for group in self.groups)
+        self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, **dealt)
         self.sweep()
         self.wheel.after(REPORT, self.reports)
         # Most of what a request leaves is freed by count: cycles are few, and looked for less often the more
@@ -281,7 +287,8 @@
         while the front stops, too: what it still sends must know who drains."""
         self.counters.add("reloads")
         try:
-            new = config.load()
+            with self.reserve.lent():  # an operator's word is not lost for want of a descriptor
+                new = config.load()
         except config.ConfigError as fault:
             self.counters.add("reloads_refused")
             self.log.error("reload_refused", key=fault.key, why=str(fault))
@@ -357,6 +364,7 @@
         for door, _ in self.doors:
             door.close()
         self.shared.leave()
+        self.reserve.close()
         self.report()
         self.syslog.close()
 
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -19,7 +19,7 @@
 from umberlead.core.interface import Result
 from umberlead.core.slots import Slots
 from umberlead.core.wheel import Timer, Wheel
-from umberlead.limits import BODY_MOST, HEAD_MOST
+from umberlead.limits import BODY_MOST, HEAD_MOST, LACK
 
 IDLE_PART = 0.6  # of the keepalive: the chunk server may close at any time up to the whole of it
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
@@ -40,7 +40,7 @@
 LENGTH = re.compile(rb"[0-9]{1,15}")
 FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 FIELDS_MOST = 16  # values of a load report
-OURS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+OURS = LACK | {errno.EADDRNOTAVAIL}
 
 
 @dataclass(slots=True)
@@ -123,7 +123,7 @@
         if not self.pool.takes_new(self.attempt.node):
             self.pool.counters.add("node_connections_too_late")  # it drains, or went, while this came up
             return self.give_up(Result.MOOT)
-        if self.attempt is not None and not self.pool.client_waits(self.attempt.ticket):
+        if not self.pool.client_waits(self.attempt.ticket):
             return self.give_up(Result.MOOT)
         self._write()
 
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -10,6 +10,8 @@
 from typing import IO
 from urllib.parse import quote, unquote
 
+from umberlead.limits import LACK
+
 LEAVING = 0.25  # of another's part, for one that ends: its clients go over with their next answer
 
 
@@ -36,7 +38,7 @@
         if self.root is None:
             return 0
         with contextlib.suppress(OSError):
-            names = [n for n in os.listdir(self.root / "fronts") if n != self._name]
+            names = [n for n in self._list("fronts") if n != self._name]
             self._beside = [w for n in names if (w := self._lives(self.root / "fronts" / n))]
         return len(self._beside)
 
@@ -54,36 +56,46 @@
                 self._lock.flush()
 
     def _list(self, folder: str) -> list[str]:
+        """OSError where there is no descriptor for it."""
         assert self.root is not None
         try:
             return os.listdir(self.root / folder)
-        except OSError:
+        except OSError as fault:
+            if fault.errno in LACK:
+                raise
             return []
 
     @staticmethod
     def _lives(path: Path) -> float:
-        """Its weight, 0 for none. OSError if that can't be seen."""
+        """Its weight, 0 for none. OSError where there is no descriptor for it."""
         try:
             with open(path) as file:
                 try:
                     fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
                 except BlockingIOError:
                     return LEAVING if file.read(1) else 1.0
-        except FileNotFoundError:
-            pass
+        except OSError as fault:
+            if fault.errno in LACK:
+                raise
         return 0.0
 
     def marks(self) -> dict[str, int]:
-        """Chunk servers taken out by hand, and when, in us of Unix time."""
+        """Chunk servers taken out by hand, and when, in us of Unix time: as last seen, where there is no
+        descriptor to look."""
         if self.root is None:
             return dict(self._marks)
+        try:
+            names = self._list("offline")
+        except OSError:
+            return dict(self._marks)
         found = {}
-        for name in self._list("offline"):
+        for name in names:
             try:
                 found[unquote(name)] = (self.root / "offline" / name).stat().st_mtime_ns // 1000
             except OSError:  # put back in between
                 continue
-        return found
+        self._marks = found
+        return dict(found)
 
     def mark(self, node: str, out: bool) -> None:
         """OSError if it can't be kept."""
