Keep for the next process that an agent answers for lists

Cause: a process that starts while discovery is down and whose call comes up unanswered can't tell an agent from a service whose queue it stands in, and waited 2.5 s for a no (docs/crossings.md, open). Where discovery returned in that time its drains were known late, as what an agent has counts at once. Ruled out: calling anew after 0.6 s in any fleet, which is four calls for one at a service where a whole fleet restarts; fleets of 8 at most do so.

Change: a process that met an agent (its list's first word within 60 ms) leaves a file `agent` in the folder that it shares with the next, and takes it away once a no was heard and a list came (shared.py, one line of front.py). It is a hint: a wrong one is learnt better by the no.

The test of the file fails on the old program, which has none; that front.py hands it over is read, not tested. 112 tests of discovery, hand-overs, crossings, exchanges and service pass.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,6 +17,7 @@
 from umberlead.core.wheel import Wheel
 from umberlead.net.discovery import Watch
 from umberlead.recovery.backoff import LIMIT
+from umberlead.shared import Shared
 
 LIST = b'{"index":3,"snapshot":true,"endpoints":[]}\n'
 
@@ -278,3 +279,20 @@
         await of.until(lambda: len(of.heard) == 2)
 
     _play(test)
+
+
+def test_what_was_learnt_of_who_answers_is_kept_for_the_next_process(tmp_path: Any) -> None:
+    async def test(discovery: Discovery) -> None:
+        shared = Shared(tmp_path)
+        assert shared.agent() is None and Shared(None).agent() is None
+        for how, agent in ((NEWS, True), (NO, True), (NEWS, None)):  # kept or not once a list has come
+            of = Setting(discovery, fleet=40, ours=True, agent=shared.agent(), learnt=shared.met_agent)
+            if (how, agent) == (NEWS, None):
+                of.watch.pacing.agent = False
+            discovery.how = how
+            of.watch.open()
+            await of.settle()
+            assert shared.agent() is agent
+            of.watch.close()
+
+    _play(test)
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -201,6 +201,7 @@
             self.watch = Watch(
                 conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
                 self.log.warning, self.told, conf.settings.heads, not conf.settings.ask_for_nodes,
+                self.shared.agent(), self.shared.met_agent,
             )  # fmt: skip
             self.watch.begin()
         ready: list[tuple[Handler, Clients, config.Address]] = []
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -1,5 +1,6 @@
 """What this process and the one that replaces it both see, as files under $TMPDIR: which processes stand
-behind the front's addresses, and which chunk servers operators took out. It is the only thing written."""
+behind the front's addresses, which chunk servers operators took out, and whether an agent answers for lists.
+It is the only thing written."""
 
 import contextlib
 import fcntl
@@ -111,6 +112,16 @@
         elif not path.exists():
             path.touch()
 
+    def agent(self) -> bool | None:
+        """Whether an earlier process met an agent in discovery's place; None: not known."""
+        return True if self.root is not None and (self.root / "agent").exists() else None
+
+    def met_agent(self, agent: bool) -> None:
+        """Only a hint: where it can't be kept, the next process learns it anew."""
+        if self.root is not None:
+            with contextlib.suppress(OSError):
+                (self.root / "agent").touch() if agent else (self.root / "agent").unlink(missing_ok=True)
+
     def leave(self) -> None:
         if self._lock is not None and self.root is not None:
             (self.root / "fronts" / self._name).unlink(missing_ok=True)
