Take any valid settings, name the key of any wrong one: names, units, zones, ticks, tables

Seen: a property test that draws whole platform configurations and drives the engine under them, and the same test breaking one key at a time. Now nothing that may have run is sent again there, but where there is one zone alone. - A name `-`, which on the wire is none.

What let wrong ones by: `flat` dropped tables and joined lists where one value is due, so they were missing or another value; OverflowError was not caught; unknown words of `discovery` and `group`, empty and double names, a sub-table that is none, `known` that is 0 or "" were not looked at; interface.check let a NaN pass. Ruled out, by reading: load reports (nothing is decided by them), messages between fronts (`peers` is passed by), deadlines over 3 s (kept to at a stop), a volume's hosts (told with each request), second copies (never sent).

Seen to fail with each of config.py, buckets.py, platform.py and control.py as they were. test_parts names `settings.plans` now where `settings` was let pass: stricter.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -169,7 +169,7 @@
             "settings.grades.1.name": lambda c: c["settings"]["grades"][1].pop("name"),
             "settings.grades.1.effect": lambda c: c["settings"]["grades"][1].update(effect="often"),
             "settings.bounds.maxAttempts": lambda c: c["settings"]["bounds"].update(maxAttempts=0),
-            "settings": lambda c: c["settings"].update(plans=[]),
+            "settings.plans": lambda c: c["settings"].update(plans=[]),
             "listen": lambda c: c.update(listen="here"),
             "limits.sockets": lambda c: c.update(limits={"sockets": 3}),
             "seed": lambda c: c.update(seed="xyz"),
--- a/umberlead/config.py
+++ b/umberlead/config.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields
 from pathlib import Path
@@ -32,6 +33,11 @@
     "rooms",
 )
 EFFECTS = {"idempotent": i.Effect.SAFE, "deduplicated": i.Effect.KEYED, "at_most_once": i.Effect.UNSAFE}
+GROUPS = {word: word for word in ("all", "zone", "cell")}
+HOST, PORT = re.compile(r"[!-~]{1,255}"), re.compile(r"[0-9]{1,5}")
+SPAN_LEAST = 1000  # us of an aim or a deadline: no answer comes in less, and parts of it round to nothing
+SMALLEST = 1e-9  # of what others are divided by, so that no quotient of two figures is without bounds
+TICK_LEAST, TICK_MOST = 100, 2000  # us; answers are due within 15 ms of a request's end here
 STATES = {"ready": i.NodeState.UP, "draining": i.NodeState.DRAINING, "gone": i.NodeState.GONE}
 
 
@@ -67,23 +73,31 @@
             return default
         try:
             number = float(value)
-        except (TypeError, ValueError):
+        except (TypeError, ValueError, OverflowError):
             raise self.wrong(key, f"is no number: {value!r}") from None
         if isinstance(value, bool) or not low <= number <= high:
             raise self.wrong(key, f"must be a number from {low:g} to {high:g}, not {value!r}")
         return number
 
+    def none_or(self, key: str, low: float) -> float:
+        """0, which is none, as is what is missing, or a number from `low`."""
+        return self.num(key, 0.0) and self.num(key, 0.0, low)
+
     def whole(self, key: str, default: int | None = None, low: int = 0, high: int = 1 << 62) -> int:
         return int(self.num(key, default, low, high))
 
     def text(self, key: str, default: str | None = None) -> str:
         value = self.raw(key)
+        if value is None and default is None:
+            value = self.got.get(key)  # what may not be missing is no "-" that stands for nothing
         if value is None:
             if default is None:
                 raise self.wrong(key, "is missing")
             return default
-        if isinstance(value, dict | list):
-            raise self.wrong(key, "must be one value")
+        if isinstance(value, dict | list | bool):
+            raise self.wrong(key, f"must be text, not {value!r}")
+        if value == "" and default is None:
+            raise self.wrong(key, "must not be empty")
         return str(value)
 
     def flag(self, key: str, default: bool = False) -> bool:
@@ -110,6 +124,21 @@
             raise self.wrong(key, "must be a table")
         return Keys(value, self.name(key))
 
+    def words(self, key: str) -> tuple[str, ...]:
+        """A list, or as on the wire words with commas between them."""
+        value = self.raw(key)
+        words = value.split(",") if isinstance(value, str) else [] if value is None else value
+        if not isinstance(words, list) or not all(isinstance(word, str) for word in words):
+            raise self.wrong(key, f"must be a list of words, not {value!r}")
+        return tuple(word for word in words if word)
+
+    def several(self, key: str) -> range:
+        """The places of a list of tables, one at least."""
+        count = self.whole(f"{key}.count", 0, 0, 1000)
+        if not count:
+            raise self.wrong(key, "must be a list of tables, one at least")
+        return range(count)
+
     def items(self, key: str) -> list[Any]:
         value = self.raw(key)
         if value is None:
@@ -122,65 +151,77 @@
         return self.as_address(key, self.text(key, default))
 
     def as_address(self, key: str, text: str) -> Address:
-        host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        host, _, port = text.rpartition(":")
+        host = host.strip("[]")
+        if not HOST.fullmatch(host) or not PORT.fullmatch(port) or int(port) > 65535:
             raise self.wrong(key, f"must be host:port, not {text!r}")
-        return host.strip("[]"), int(port)
+        return host, int(port)
 
 
 def flat(value: Any, path: str = "") -> dict[str, Any]:
-    """Nested settings as the wire's dotted paths."""
+    """Nested settings as the wire's dotted paths. What has parts also stands under its own: read as one
+    value, it is an error, and not missing."""
+    found: dict[str, Any] = {path: value} if path else {}
     if isinstance(value, dict):
-        found: dict[str, Any] = {}
         for key, inner in value.items():
             found |= flat(inner, f"{path}.{key}" if path else str(key))
-        return found
-    if isinstance(value, list) and any(isinstance(v, dict) for v in value):
-        found = {f"{path}.count": len(value)}
+    elif isinstance(value, list) and any(isinstance(v, dict) for v in value):
+        found[f"{path}.count"] = len(value)
         for k, inner in enumerate(value):
             found |= flat(inner, f"{path}.{k}")
-        return found
-    if isinstance(value, list):
-        return {path: ",".join(str(v) for v in value)}
-    return {path: value}
+    return found
+
+
+def _memory(k: Keys, n: int) -> int:
+    """How long repeats of a class are dropped (us). Decisions know no zones: where only the chunk servers of
+    one zone drop them, and there are others, nothing that may have run is sent again."""
+    told = k.whole(f"grades.{n}.memorySpan", 0)
+    return 0 if k.raw(f"grades.{n}.group") == "zone" and len(k.words("azs")) != 1 else told
 
 
 def settings_of(got: Mapping[str, Any]) -> i.Settings:
     """The module's settings from path=value pairs; what is unknown is left alone."""
     k = Keys(got, "settings")
+    for name in ("bounds", "callers", "extra", "guarantees", "loadReport"):
+        k.table(name)
     classes = tuple(
         i.RequestClass(
             name=k.text(f"grades.{n}.name"),
-            aim=k.whole(f"grades.{n}.aim"),
-            deadline=k.whole(f"grades.{n}.hardLimit"),
+            aim=k.whole(f"grades.{n}.aim", None, SPAN_LEAST),
+            deadline=k.whole(f"grades.{n}.hardLimit", None, SPAN_LEAST),
             effect=k.one_of(f"grades.{n}.effect", EFFECTS, "at_most_once"),
-            group=k.text(f"grades.{n}.group", "cell"),
-            memory=k.whole(f"grades.{n}.memorySpan", 0),
+            group=k.one_of(f"grades.{n}.group", GROUPS, "cell"),
+            memory=_memory(k, n),
             ordered=k.flag(f"grades.{n}.sequential"),
             worth=k.num(f"grades.{n}.credit", 1),
             late_worth=k.num(f"grades.{n}.lateWorth", 0),
         )
-        for n in range(k.whole("grades.count", 0, 0, 1000))
+        for n in k.several("grades")
     )
     plans = tuple(
         i.Plan(
             name=k.text(f"plans.{n}.name"),
-            weight=k.num(f"plans.{n}.weight", 1),
+            weight=k.num(f"plans.{n}.weight", 1, SMALLEST),
             rate=k.num(f"plans.{n}.usualRate", 0),
             reserve=k.num(f"plans.{n}.reservation", 0),
             price=k.num(f"plans.{n}.valueFactor", 1),
-            limit_rate=k.num(f"plans.{n}.neverOver", 0),
+            limit_rate=k.none_or(f"plans.{n}.neverOver", SMALLEST),
             limit_burst=k.num(f"plans.{n}.mostAtOnce", 0),
             limit_slack=k.num(f"plans.{n}.capSlack", 0),
         )
-        for n in range(k.whole("plans.count", 0, 0, 1000))
+        for n in k.several("plans")
     )
+    for key, names in (("grades", [c.name for c in classes]), ("plans", [p.name for p in plans])):
+        for n, name in enumerate(names):
+            if name in names[:n]:
+                raise k.wrong(f"{key}.{n}.name", f"is there twice: {name!r}")
+    warm_up, cold_units = k.whole("guarantees.warmUp", 0), k.num("extra.coldUnits", 0)
     made = i.Settings(
         classes=classes,
         plans=plans,
         heads=k.whole("instances", 1, 1),
-        mean_units=k.num("extra.meanUnits", 1),
-        max_units=k.num("extra.maxUnits", 1),
+        mean_units=k.num("extra.meanUnits", 1, SMALLEST),
+        max_units=k.num("extra.maxUnits", 1, SMALLEST),
         fair_worth=k.num("extra.fairWorth", 1),
         idle_worth=k.num("extra.idleWorth", 1),
         max_attempts=k.whole("bounds.maxAttempts", 1, 1),
@@ -188,14 +229,14 @@
         link_timeout=k.whole("bounds.dialTimeout", 0),
         marked=k.flag("callers.marksRetry"),
         retry_after_max=k.whole("bounds.maxRetryAfter", 0) if k.flag("bounds.retryAfter") else 0,
-        ask_for_nodes=k.text("discovery", "push") == "ask",
+        ask_for_nodes=k.one_of("discovery", {"push": False, "ask": True}, "push"),
         answer_grace=k.whole("guarantees.graceToAnswer", 0),
         shards=k.whole("extra.nShards", 0, 0, 1 << 20),
-        cold_units=k.num("extra.coldUnits", 0),
-        cold_share=k.num("guarantees.coldShare", 1),
+        cold_units=cold_units if warm_up else 0.0,  # without an end to it, nothing is ever cold
+        cold_share=k.num("guarantees.coldShare", 1, 0, 1),
         cold_multiple=k.num("guarantees.fallMultiple", 1),
         cold_window=k.whole("guarantees.overloadFor", 0),
-        warm_up=k.whole("guarantees.warmUp", 0),
+        warm_up=warm_up,
         order_rest=k.whole("guarantees.orderPause", 0),
         budget_window=k.whole("guarantees.resendSpan", 0),
         budget_free=k.whole("guarantees.freeResends", 0),
@@ -369,13 +410,14 @@
     return {
         "seed": _seed(k),
         "settings": settings_of(settings),
-        "load_fields": tuple(f for f in s.text("loadReport.fields", "").split(",") if f),
-        "known": listing_of(known or {}, "known"),
+        "load_fields": s.words("loadReport.fields"),
+        "known": listing_of({} if known is None else known, "known"),
         "sockets": k.table("limits").whole("sockets", 1024, 32, 1_000_000),
         "cores": k.table("limits").num("cores", 1.0, 0.01, 1024),
         "memory": k.table("limits").whole("memory_mb", 192, 16, 1 << 20) << 20,
-        "keepalive": s.whole("bounds.keepalive", 15_000_000, 100_000),
-        "tick": s.whole("tick", 2000, 100, 100_000),
+        "keepalive": s.whole("bounds.keepalive", 15_000_000, 1),
+        # The settings' is the simulator's gap between batches, which may be as coarse as it likes.
+        "tick": min(max(s.whole("tick", TICK_MOST, 1), TICK_LEAST), TICK_MOST),
         "retry_after": most,
     }
 
@@ -392,7 +434,7 @@
     """What the platform tells a front."""
     path = env["EDGE_CONFIG"]
     try:
-        got = json.loads(Path(path).read_text())
+        got = json.loads(Path(path).read_bytes())  # UTF-8, whatever the locale is
     except (OSError, ValueError) as fault:
         raise ConfigError("EDGE_CONFIG", str(fault)) from None
     if not isinstance(got, dict):
@@ -550,7 +592,7 @@
 
     buckets = {}
     for bucket, plan in k.table("buckets").got.items():
-        if plan not in plans:
+        if str(plan) not in plans:
             raise k.wrong(f"buckets.{bucket}", f"is no plan of the settings: {plan!r}")
         buckets[str(bucket)] = str(plan)
     if not buckets:
@@ -593,12 +635,13 @@
 
 def load(env: Mapping[str, str] | None = None) -> Config:
     env = os.environ if env is None else env
-    if path := env.get("UMBERLEAD_CONFIG"):
-        made = operator(path)
-    elif "EDGE_CONFIG" in env:
-        made = platform(env)
-    else:
+    source = "UMBERLEAD_CONFIG" if env.get("UMBERLEAD_CONFIG") else "EDGE_CONFIG"
+    if source not in env:
         raise ConfigError("EDGE_CONFIG", "is not set, and neither is UMBERLEAD_CONFIG")
+    try:
+        made = platform(env) if source == "EDGE_CONFIG" else operator(env[source])
+    except RecursionError:
+        raise ConfigError(source, "is nested too deeply") from None
     if made.listen is None and made.objects is None:
         raise ConfigError("listen", "neither the platform front nor the object front is set up")
     if made.discovery is None and not made.known.endpoints and made.lists is None:
--- a/umberlead/core/buckets.py
+++ b/umberlead/core/buckets.py
@@ -1,6 +1,7 @@
 """A bucket of units that fills with time: limits and what is due are kept in these."""
 
 NEVER = float("inf")  # when only news can change things
+LONGEST = 1e15  # us: a wait beyond it, at a rate of next to nothing, is no whole number
 
 
 class Store:
@@ -18,7 +19,7 @@
         self.fill(now)
         if units <= self.have:
             return 0
-        return max(self.at - now, 0) + int((units - self.have) / (self.rate or NEVER)) + 1
+        return max(self.at - now, 0) + int(min((units - self.have) / (self.rate or NEVER), LONGEST)) + 1
 
     def fit(self, now: int, rate: float, most: float) -> None:
         """From `now` on it fills at another rate up to another height; what stands above that is lost."""
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -268,18 +268,29 @@
 
 
 def check(settings: Settings) -> None:
-    """Raise ValueError where settings make no sense."""
+    """Raise ValueError where settings make no sense, whoever made them; what is no number makes none."""
+
+    def finite(*figures: float) -> bool:
+        return all(0 <= f < float("inf") for f in figures)
+
     if not settings.classes or not settings.plans:
         raise ValueError("settings need at least one request class and one plan")
+    for names in ([c.name for c in settings.classes], [p.name for p in settings.plans]):
+        if len(set(names)) < len(names):
+            raise ValueError("names of classes and of plans must differ")
     for cls in settings.classes:
         if cls.aim <= 0 or cls.deadline <= 0:
             raise ValueError(f"class {cls.name}: aim and deadline must be above 0")
+        if not finite(cls.worth, cls.late_worth, cls.memory):
+            raise ValueError(f"class {cls.name}: worth and memory must not be negative")
     for plan in settings.plans:
-        if plan.weight <= 0:
+        if not finite(plan.weight) or not plan.weight:
             raise ValueError(f"plan {plan.name}: weight must be above 0")
-        if min(plan.reserve, plan.limit_rate, plan.limit_burst, plan.limit_slack) < 0:
+        limit = plan.limit_rate, plan.limit_burst, plan.limit_slack
+        if not finite(plan.rate, plan.reserve, plan.price, *limit):
             raise ValueError(f"plan {plan.name}: rates must not be negative")
     if settings.heads < 1 or settings.max_attempts < 1:
         raise ValueError("heads and max_attempts must be at least 1")
-    if settings.mean_units <= 0 or settings.max_units <= 0:
+    units = settings.mean_units, settings.max_units
+    if not finite(*units) or not all(units):
         raise ValueError("mean_units and max_units must be above 0")
--- a/umberlead/fronts/control.py
+++ b/umberlead/fronts/control.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import unquote
+from urllib.parse import quote, unquote
 
 from umberlead.core.engine import Engine, Kind
 from umberlead.net.http import Message, ServerConnection
@@ -21,7 +21,7 @@
 def figures(engine: Engine) -> bytes:
     """Counts since the start, and what is so now."""
     lines = [
-        f"svc.{word}.{name}:{engine.figures[kind, name]}|c"
+        f"svc.{word}.{quote(name, safe='')}:{engine.figures[kind, name]}|c"
         for name in engine.classes
         for kind, word in COUNTED
     ]
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -2,7 +2,9 @@
 
 import math
 import re
+from collections.abc import Container
 from dataclasses import dataclass
+from urllib.parse import unquote_to_bytes
 
 from umberlead.core.engine import Answer, Ask, Duplicate, Engine, Kind, Ticket
 from umberlead.net.attempts import LONG_MOST, Outgoing
@@ -25,20 +27,24 @@
     """The client's mistake; the text tells it."""
 
 
-def class_of(target: bytes) -> str:
-    """The first part of the path."""
-    return target.partition(b"?")[0].lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+def class_of(target: bytes, known: Container[str]) -> str:
+    """The first part of the path, as it stands or, where that names no class, with its escapes undone."""
+    part = target.partition(b"?")[0].lstrip(b"/").split(b"/", 1)[0]
+    plain = part.decode("latin-1")
+    return plain if plain in known else unquote_to_bytes(part).decode("utf-8", "replace")
 
 
 def ask_of(message: Message, engine: Engine, margin: int) -> Ask:
     """What the client wants, or `BadRequest`."""
     _, query = message.split()
-    class_name = class_of(message.target)
+    class_name = class_of(message.target, engine.classes)
     cls = engine.classes.get(class_name)
     if cls is None:
         raise BadRequest(f"no such class: {class_name}")
     got = message.headers
     plan = got.get(b"x-plan", b"").decode("latin-1")
+    if plan not in engine.plans:
+        plan = got.get(b"x-plan", b"").decode("utf-8", "replace")
     if plan not in engine.plans:
         raise BadRequest(f"X-Plan: no such plan: {plan}")
     if TOKEN.fullmatch(got.get(b"x-call-id", b"")) is None:
@@ -118,7 +124,7 @@
         conn.context = None
         if answer.kind is Kind.SERVED and answer.reply is not None:
             if answer.reply.rest is not None:
-                conn.context = relayed = Relayed(class_of(message.target))
+                conn.context = relayed = Relayed(class_of(message.target, self.engine.classes))
                 return conn.relay(
                     200, answer.reply.length, answer.reply.body, answer.reply.rest,
                     lambda whole: self._relayed(conn, relayed, whole),
@@ -150,7 +156,7 @@
 
     def bad(self, conn: ServerConnection, status: int, why: str) -> None:
         if status == 503:
-            self.engine.refused_unread(class_of(conn.turned_away))
+            self.engine.refused_unread(class_of(conn.turned_away, self.engine.classes))
             self.refuse(conn, 0, why)
         else:
             conn.reply(status, (), f"{why}\n".encode())
