Hold clients to their descriptors in every turn, and let no silent one keep a request out

Seen, on real sockets, with the program before: - a crowd at a cap of 16 held 21 descriptors, 64 as the listener closed; a front of 256 in its worst moment 252 (clients full, 95 requests out, discovery silent, then back). `Listener._ready` left out connections that had given their place up (`going`), whose descriptor is closed a turn later, and `make_room` those being taken (`coming`); these were counted twice once made. (An accept without a descriptor fails even if nobody waits.) - beside a crowd of idle clients at a front of 64, with 16 of 17 places in use, a client that asked at once was told "too many connections" 3 times in 5 calls: silent newcomers in their 0.1 s of grace held the places (`_next`). - an upload at the object front was never spare while a byte came each 0.1 s (`since` moved with it).

Ruled out, under RLIMIT_NOFILE 32, 64 and 256, with silent clients, half heads, kept answers and bodies that trickle: the watch's calls at a discovery that hangs (none was refused for want of a descriptor, before or after), the operators' door, SIGHUP, dials to chunk servers, two processes with half of the limits each.

Now accepts count what holds a descriptor, 16 a turn, from one search for spare connections; the surplus at a closing listener is used only where no place came free; a lack of descriptors ends one idle connection; a request is refused only where all places have one; an upload under 1 kB/s may give way at the cap, after all others.

--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -9,7 +9,7 @@
 import sys
 import termios
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from email.utils import formatdate
 from typing import Any, Protocol, cast
@@ -19,7 +19,7 @@
 from umberlead.config import Address
 from umberlead.core.counters import Counters
 from umberlead.core.slots import Slots
-from umberlead.limits import HEAD_MOST
+from umberlead.limits import HEAD_MOST, LACK, surplus
 
 WAITING_MOST = 8  # whole requests that a client may send ahead of their answers
 UNREAD = 30_000_000  # us an answer may stand in our memory without the client reading on
@@ -27,9 +27,11 @@
 REQUEST_TIME = 2_500_000  # us a client may take over a request, from its connecting or the request's begin
 BODY_TIME = 400_000  # us from the head's end that it has at least, a late head or not
 PACE = 32_000  # bytes a second at which a body must come
+TRICKLE = 1_000  # bytes a second below which an upload that may take long gives way where places are short
 PLENTY = 0.5  # part of the places that connections may take before new ones end with their first answer
 SPARE_TIME = 2_000_000  # us an idle connection stands where places are short
 GRACE = 100_000  # us a new connection is safe from giving its place up: its request may be on the way
+SHARE = 16  # connections accepted in a turn: a flood of them must not hold up those that are here
 AGAIN = 0.02  # s until what can't be accepted now is tried again
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer ended its sending, closed or reset
 LENGTH = re.compile(rb"[0-9]{1,15}")
@@ -123,8 +125,9 @@
         """Close what has stood too long: lingering, half sent, silent, or idle; when most places are taken
         an idle connection goes sooner. Where the cap came down, what is over it goes."""
         now = self.clock()
+        spares = self.spares()
         for _ in range(len(self.slots) - self.going - self.most):
-            if not self.make_room():
+            if not self.evict(spares):
                 break
         idle = self.idle or 1 << 62
         if len(self.slots) > self.most // 2:
@@ -144,6 +147,10 @@
         again, and not once no new ones are taken."""
         return len(self.slots) - self.going > self.most * PLENTY and not self.stopping
 
+    def full(self) -> bool:
+        """All places are in use. One that has asked nothing yet keeps none from a request that is here."""
+        return sum(conn.open is not None or conn.unread for conn in self.slots) >= self.most
+
     def room(self, size: int) -> bool:
         """Whether memory allows so many bytes more, should the client not read them."""
         return self.held + size <= self.memory
@@ -160,18 +167,25 @@
         for conn in self.slots:
             conn.cut_short()
 
+    def spares(self) -> Iterator["ServerConnection"]:
+        """Connections whose place may be taken, the first to go first. They are looked for once, as the first
+        is asked for: one search serves a whole turn of accepts."""
+        old = self.clock() - GRACE
+        free = [c for c in self.slots if c.spare(old)]
+        # One that is half read goes last: its end may be on the way, and then it is a request taken and lost.
+        free.sort(key=lambda c: (c.message is not None, not c.ended, c.served > 0, c.since))
+        yield from free
+
     def make_room(self) -> bool:
         """At the cap one connection without an open request goes: one that ends anyway, else one that has
         sent nothing in its grace, else the one idle for longest: its client opens another when it needs one.
         Where all have one, a long answer gives way that goes on far past its request's time.
         A flood of silent connections takes no usual client's place."""
-        if len(self.slots) - self.going < self.most:
-            return True
-        old = self.clock() - GRACE
-        free = [c for c in self.slots if c.spare(old)]
-        # One that is half read goes last: its end may be on the way, and then it is a request taken and lost.
-        free.sort(key=lambda c: (c.message is not None, not c.ended, c.served > 0, c.since))
-        for victim in free:
+        return len(self.slots) - self.going < self.most or self.evict(self.spares())
+
+    def evict(self, spares: Iterator["ServerConnection"]) -> bool:
+        """The next of `spares` gives its place up now and its descriptor a turn later; False if none can."""
+        for victim in spares:
             if victim.arriving():
                 continue  # a request is here that was not read yet
             self.counters.add("clients_evicted")
@@ -202,7 +216,7 @@
     ) -> None:  # fmt: skip
         self.handler, self.clients, self.loop = handler, clients, loop
         self.open, self.paused, self.coming = True, False, 0
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks: dict[asyncio.Task[Any], ServerConnection] = {}  # of connections being taken
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -216,34 +230,47 @@
         self.address: Address = self.socket.getsockname()[:2]
         loop.add_reader(self.socket, self._ready)
 
+    def _over(self) -> int:
+        """Connections past the cap, with those being taken and without those that gave their place up."""
+        clients, taking = self.clients, sum(conn.slot < 0 for conn in self.tasks.values())
+        return len(clients.slots) + taking - clients.going - clients.most
+
     def _ready(self) -> None:
         """One turn's share of what waits: those that came before are read in between."""
-        clients = self.clients
-        for _ in range(max(clients.most // 8, 1)):
-            # Some places beyond the cap are for telling the surplus at once that there is no room.
-            over = len(clients.slots) - clients.going + self.coming - clients.most
-            if over >= 0 and not clients.make_room() and over >= max(clients.most // 8, 1):
-                return self._pause()
+        clients, spares, over = self.clients, self.clients.spares(), self._over()
+        extra = surplus(clients.most)  # for telling those at once that there is no room
+        for taken in range(min(extra, SHARE)):
+            if over + clients.going >= extra:  # what gives its place up lets its descriptor go a turn later
+                if over >= extra and not clients.evict(spares):
+                    self._pause()
+                return
             try:
                 sock, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError as fault:  # no descriptor, no memory: what is held now must go first
+            except OSError as fault:
+                if taken:  # a lack of descriptors is told though nobody may wait: the next turn knows
+                    return
                 clients.counters.add("accepts_failed")
                 clients.log("accept_failed", why=str(fault))
+                if fault.errno in LACK:  # what is held now must go first
+                    clients.evict(spares)
                 return self._pause()
             self._take(sock)
+            over += 1
+            if over > 0 and clients.evict(spares):
+                over -= 1
 
     def _take(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.coming += 1
-        made = self.loop.connect_accepted_socket(lambda: ServerConnection(self.handler, self.clients), sock)
-        task = self.loop.create_task(made)
-        self.tasks.add(task)
+        conn = ServerConnection(self.handler, self.clients)
+        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: conn, sock))
+        self.tasks[task] = conn
         task.add_done_callback(self._came)
 
     def _came(self, task: "asyncio.Task[Any]") -> None:
-        self.tasks.discard(task)
+        del self.tasks[task]
         self.coming -= 1
         if not task.cancelled() and task.exception() is not None:  # it left before it was taken
             self.clients.counters.add("accepts_failed")
@@ -271,16 +298,23 @@
 
     def _take_rest(self) -> None:
         """What the system has accepted is ours to answer: closed on, it would be reset. Where there is no
-        descriptor for it now there will be, as answers end their connections."""
+        place for it now there will be, as answers end their connections; where none came, the surplus is told
+        that there is no room."""
+        clients, spares, over = self.clients, self.clients.spares(), self._over()
+        extra = surplus(clients.most)
+        most = 0 if over < 0 else extra
         try:
-            while True:
+            while over < most and over + clients.going < extra:
                 self._take(self.socket.accept()[0])
+                over += 1
         except BlockingIOError:
-            self.socket.close()
+            return self.socket.close()
         except OSError:
-            self.clients.counters.add("accepts_failed")
-            self.coming += 1  # the process does not end meanwhile
-            self.loop.call_later(AGAIN, self._again)
+            clients.counters.add("accepts_failed")
+        for _ in range(over):
+            clients.evict(spares)
+        self.coming += 1  # the process does not end meanwhile
+        self.loop.call_later(AGAIN, self._again)
 
     def _again(self) -> None:
         self.coming -= 1
@@ -544,8 +578,8 @@
         # Not while an answer stands unread: a client that only asks must not pile them up.
         if self.open is None and self.waiting and not (self.ended or self.lost or self.unread):
             over = len(self.clients.slots) - self.clients.going > self.clients.most
-            if over and not self.served and not self.clients.make_room():
-                # No idle connection is left to make room: this one is served no further, and told so.
+            if over and not self.served and not self.clients.make_room() and self.clients.full():
+                # No place is left that another does not need: this one is served no further, and told so.
                 target = self.waiting[0].target
                 self._drop_waiting()
                 self.refuse(503, "too many connections", target)
@@ -703,8 +737,15 @@
 
     def spare(self, old: int) -> bool:
         """No request of it is open, and it is in its present state since `old` or ends anyway."""
-        calm = self.open is None and not (self.waiting or self.unread) and (self.ended or self.since <= old)
-        return calm and not self.transport.is_closing()
+        calm = self.open is None and not (self.waiting or self.unread)
+        still = self.ended or self.since <= old or self._trickles(old)
+        return calm and still and not self.transport.is_closing()
+
+    def _trickles(self, old: int) -> bool:
+        """A body that may take long, and hardly moves."""
+        if self.message is None or self._in_head:
+            return False
+        return self._body_since + REQUEST_TIME + self._size * 1_000_000 // TRICKLE <= old
 
     def coming(self) -> int:
         """What the system holds of this connection that was not read yet, in poll's words."""
