Give two eased tests their strictness back: the signals' limits, and no refusal in the demo

Now the stop lasts a second by the clock, however many swaps the disk takes in that, and the limits are those of before it: 2 s of reads, 3 s of uploads, for all tests of the file (uploads had 2 s since).

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -155,7 +155,7 @@
     got = CliRunner().invoke(command, ["demo", str(_set_up(tmp_path)), "--seconds", "3", "--rate", "20"])
     assert got.exit_code == 0, got.output
     found = re.search(
-        r"(\d+) objects in, (\d+) read back, 0 not the same; \d+ refused, 0 failed\n$", got.output
+        r"(\d+) objects in, (\d+) read back, 0 not the same; 0 refused, 0 failed\n$", got.output
     )
     assert found is not None and int(found[1]) > 2 and int(found[2]) > 2, got.output
 
--- a/tests/test_lists_front.py
+++ b/tests/test_lists_front.py
@@ -35,12 +35,12 @@
 [[settings.grades]]
 name = "image-read"
 aim = 1500000
-hardLimit = {limit}
+hardLimit = 2000000
 effect = "idempotent"
 [[settings.grades]]
 name = "image-upload"
 aim = 1500000
-hardLimit = {limit}
+hardLimit = 3000000
 effect = "at_most_once"
 [[settings.plans]]
 name = "basic"
@@ -50,8 +50,8 @@
 class World:
     """Stand-ins, a list, and a front in a process of its own."""
 
-    def __init__(self, folder: Path, limit: int = 2_000_000) -> None:
-        self.folder, self.record, self.limit = folder, Record(), limit
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.record = folder, Record()
         self.servers: dict[str, ChunkServer] = {}
         self.ports: dict[str, int] = {}
         self.version = 0
@@ -70,9 +70,7 @@
     async def spawn(self, address: str = "127.0.0.1:0") -> None:
         """A front at `address`; where one stands there already, beside it."""
         text = f'name = "f"\nlisten = "{address}"\nstate = "state"\n[membership]\nlist = "main.list"\n'
-        (self.folder / "front.toml").write_text(
-            text + "withdrawn_most = 1.0\n" + SETTINGS.format(limit=self.limit)
-        )
+        (self.folder / "front.toml").write_text(text + "withdrawn_most = 1.0\n" + SETTINGS)
         count = len(self.lines)
         self.program = [sys.executable, "-B", "-m", "umberlead", "run", str(self.folder / "front.toml")]
         self.process = await asyncio.create_subprocess_exec(
@@ -129,8 +127,8 @@
 
 
 @contextlib.asynccontextmanager
-async def world(folder: Path, unit: float = 0.001, limit: int = 2_000_000) -> AsyncIterator[World]:
-    made = World(folder, limit)
+async def world(folder: Path, unit: float = 0.001) -> AsyncIterator[World]:
+    made = World(folder)
     await made.start(unit)
     try:
         yield made
@@ -200,9 +198,7 @@
     """A swap right before and after the signal; stopped for a second, the front finds the newest list."""
 
     async def test() -> None:
-        # A stop that outlasts a request's limit ends an upload that is out as failed, and rightly: on a slow
-        # machine the 50 swaps take seconds, so the limit is one that they can't reach.
-        async with world(tmp_path, unit=0.02, limit=60_000_000) as w:
+        async with world(tmp_path, unit=0.02) as w:
             w.swap("a")
             asked = [asyncio.create_task(w.ask(f"r{k}")) for k in range(20)]
             asked += [asyncio.create_task(w.ask(f"u{k}", "PUT")) for k in range(10)]
@@ -211,7 +207,10 @@
             w.process.send_signal(number)
             w.swap("b")
             if number is signal.SIGSTOP:
-                for _ in range(50):
+                # A stop that outlasts a request's limit ends an upload that is out as failed, and rightly: it
+                # lasts a second, however many swaps a slow disk takes in that.
+                until = time.monotonic() + 1.0
+                while time.monotonic() < until:
                     w.swap("a")
                     w.swap("b")
                     await asyncio.sleep(0.02)
@@ -287,12 +286,12 @@
 def test_without_a_sound_list_the_start_fails_and_names_the_place(tmp_path: Path) -> None:
     (tmp_path / "main.list").write_text("format 1\nversion 1\nserver a address 127.0.0.1:1 shrad 0\nend 3\n")
     text = 'name = "f"\nlisten = "127.0.0.1:0"\n[membership]\nlist = "main.list"\n'
-    (tmp_path / "front.toml").write_text(text + SETTINGS.format(limit=2_000_000))
+    (tmp_path / "front.toml").write_text(text + SETTINGS)
     call = [sys.executable, "-B", "-m", "umberlead", "run", str(tmp_path / "front.toml")]
     done = subprocess.run(call, cwd=ROOT, capture_output=True, text=True)
     assert done.returncode == 2
     assert "membership.list: main.list:3:30: L101: expected" in done.stderr
-    (tmp_path / "front.toml").write_text(text + 'lsit = "x"\n' + SETTINGS.format(limit=2_000_000))
+    (tmp_path / "front.toml").write_text(text + 'lsit = "x"\n' + SETTINGS)
     done = subprocess.run(call, cwd=ROOT, capture_output=True, text=True)
     assert done.returncode == 2 and "membership.lsit: is unknown" in done.stderr
 
