Measure how long after their clients left attempts begin, and what the look costs

`make bench-leaving`: a front of its own process, stand-ins that keep the record, clients that close, half-close or reset at drawn times, a quarter with more sent ahead than is read, objects broken off in the middle. Free, on a core shared with two busy processes, and stopped (SIGSTOP) again and again; with the look and without it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check demo run rehearse front planted-moments bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual bench-news clean
+.PHONY: build test lint check demo run rehearse front planted-moments bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual bench-news bench-leaving clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -107,5 +107,9 @@
 bench-news: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.news --keep
 
+# Clients that leave, free, on a busy core and stopped, with the closer look and without; a minute and a half.
+bench-leaving: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.leaving --keep
+
 clean:
 	rm -rf .venv $(DEV) $(FULL) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/leaving.py
@@ -0,0 +1,435 @@
+"""How long after their clients left requests are still sent on, and what looking for it costs: `make
+bench-leaving`.
+
+A front in a process of its own, stand-ins in another, clients here. Each client asks once and leaves after a
+drawn time, closing, ending its sending or resetting; a quarter have sent so much ahead that the front has
+stopped reading. Beside them objects go in, one at a time on each shard, whose clients leave in the middle.
+What was sent on when is told by the stand-ins' record alone: from the system's taking the client's leaving to
+the read of the request's last byte there, on one monotonic clock; what the record itself lags by is in it.
+Three ways:
+
+- `free`: the front has a core;
+- `busy`: it shares one with two processes that never rest (bounded in time);
+- `stopped`: SIGSTOP for 0.15 to 0.3 s, again and again: clients leave and deadlines fall due in that time.
+
+Each is played with the look at the client's connection as an attempt begins and without it. Its cost is the
+processor time a request of two fronts, one with it and one without, loaded by turns; and a call by itself."""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import select
+import signal
+import socket
+import statistics
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from json import loads
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from benchmarks.watched_lists import OUT, ROOT, server, sheet
+from umberlead.core.counters import Counters
+from umberlead.fronts.objects import digest
+from umberlead.net.http import Clients, Listener
+
+WAYS, SHARDS, BUSY = ("free", "busy", "stopped"), 8, 2
+RATE, STAY = 500.0, (0.0, 0.3)  # clients a second, and how long they stay, s
+OBJECT_STAY, OBJECT_GAP = 0.12, 0.4  # s an object's client stays at most, and until the next one there
+PAIRS, PART, ASKING = 12, 0.6, 16  # of the cost: turns, s of each, clients that ask at once
+CONFIG = """
+name = "front"
+listen = "127.0.0.1:0"
+[objects]
+listen = "127.0.0.1:0"
+block_bytes = 4096
+buffer_bytes = 65536
+parallel = 1
+read = {{ class = "read" }}
+write = {{ class = "write" }}
+buckets = {{ scans = "basic" }}
+[known]
+endpoints = [{endpoints}]
+[settings]
+[settings.bounds]
+maxAttempts = 3
+dialTimeout = 250000
+[settings.callers]
+marksRetry = true
+[settings.extra]
+meanUnits = 2.0
+maxUnits = 4.0
+nShards = 8
+[[settings.grades]]
+name = "read"
+aim = 1500000
+hardLimit = 3000000
+effect = "idempotent"
+[[settings.grades]]
+name = "write"
+aim = 1500000
+hardLimit = 3000000
+effect = "at_most_once"
+[[settings.plans]]
+name = "basic"
+"""
+
+
+def front(path: str, look: str) -> int:
+    """A front's process; without the look an attempt begins for whoever is not known to have left."""
+    os.environ["UMBERLEAD_CONFIG"] = path
+    if look == "without":
+        from umberlead.core.engine import Engine
+
+        Engine.client_waits = lambda self, ticket: True  # type: ignore[method-assign]
+    from umberlead.__main__ import main as run
+
+    return run()
+
+
+class Process:
+    """A front and where it listens: the platform's protocol, the object API."""
+
+    def __init__(
+        self, folder: Path, name: str, ports: list[int], look: bool, core: int | None = None
+    ) -> None:
+        path, self.log = folder / f"{name}.toml", folder / f"{name}.log"
+        row = '{{ name = "n{0}", address = "127.0.0.1:{1}", group = {0} }}'
+        path.write_text(CONFIG.format(endpoints=", ".join(row.format(k, p) for k, p in enumerate(ports))))
+        call = [sys.executable, "-B", "-m", "benchmarks.leaving", "--front", str(path)]
+        with open(self.log, "w") as out:
+            self.process = subprocess.Popen([*call, "with" if look else "without"], cwd=ROOT, stderr=out)
+        if core is not None:
+            os.sched_setaffinity(self.process.pid, {core})
+
+    async def ready(self) -> list[tuple[str, int]]:
+        while self.process.poll() is None:
+            said = [line for line in self.log.read_text().splitlines() if " listening " in line]
+            if len(said) == 2:
+                found = [line.split('address="')[1].split('"')[0].split(":") for line in said]
+                return [(host, int(port)) for host, port in found]
+            await asyncio.sleep(0.02)
+        raise RuntimeError(self.log.read_text())
+
+    def used(self) -> int:
+        """ns of processor time."""
+        return int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0])
+
+    def end(self) -> int:
+        self.process.send_signal(signal.SIGCONT)
+        self.process.terminate()
+        return self.process.wait(20)
+
+
+def leave(sock: socket.socket, way: int) -> int:
+    """By closing, ending its sending or resetting; when the system had it, in monotonic ns."""
+    if way == 1:
+        sock.shutdown(socket.SHUT_WR)
+        told = time.monotonic_ns()
+        asyncio.get_running_loop().call_later(1.0, sock.close)
+        return told
+    if way == 2:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    return time.monotonic_ns()
+
+
+def asked(name: str, chance: random.Random) -> bytes:
+    shard, block = chance.randrange(SHARDS), chance.getrandbits(64)
+    head = f"GET /read?block={block:016x} HTTP/1.1\r\nX-Call-Id: {name}\r\nX-Plan: basic\r\n"
+    return (head + f"X-IO: volume={block % 40:x},units=2,shard={shard}\r\n\r\n").encode()
+
+
+@dataclass
+class Left:
+    """When clients left: by request's id; by shard, from each object's leaving to the next one's begin."""
+
+    by_id: dict[str, int] = field(default_factory=dict)
+    objects: dict[int, list[tuple[int, int]]] = field(default_factory=lambda: defaultdict(list))
+
+
+def ahead(sock: socket.socket) -> None:
+    """More than is read ahead; it comes by itself, or what is behind the first request is refused at once."""
+    with contextlib.suppress(OSError):  # it may have left
+        sock.sendall(b"GET /" + b"x" * 60_000)
+
+
+async def platform(address: tuple[str, int], name: str, seconds: float, left: Left, seed: int) -> None:
+    loop, chance, begin = asyncio.get_running_loop(), random.Random(seed), time.monotonic()
+    for k in range(int(RATE * seconds)):
+        await asyncio.sleep(max(begin + k / RATE - time.monotonic(), 0))
+        sock = socket.create_connection(address)
+        names = [f"{name}-{k}"]
+        text = asked(names[0], chance)
+        if chance.random() < 0.25:
+            names.append(f"{name}-{k}b")
+            text += asked(names[1], chance)
+            loop.call_later(0.005, ahead, sock)
+        sock.sendall(text)
+
+        def go(sock: socket.socket = sock, names: list[str] = names, way: int = k % 3) -> None:
+            told = leave(sock, way)
+            left.by_id.update(dict.fromkeys(names, told))
+
+        loop.call_later(chance.uniform(*STAY), go)
+    await asyncio.sleep(STAY[1] + 1.5)
+
+
+async def objects(address: tuple[str, int], shard: int, seconds: float, left: Left, seed: int) -> None:
+    chance, end, told = random.Random(f"{seed}/{shard}"), time.monotonic() + seconds, 0
+    body = b"PUT /scans/%s HTTP/1.1\r\nContent-Length: 49152\r\n\r\n" + b"x" * 49152
+    while time.monotonic() < end:
+        key = next(
+            k for k in iter(lambda: f"{chance.getrandbits(40):x}", "")
+            if int(digest("shard", "scans", k), 16) % SHARDS == shard
+        )  # fmt: skip
+        if told:
+            left.objects[shard].append((told, time.monotonic_ns()))
+        sock = socket.create_connection(address)
+        sock.sendall(body.replace(b"%s", key.encode(), 1))
+        await asyncio.sleep(chance.uniform(0, OBJECT_STAY))
+        told = leave(sock, chance.randrange(3))
+        await asyncio.sleep(OBJECT_GAP)
+    left.objects[shard].append((told, time.monotonic_ns()))
+
+
+async def stops(process: subprocess.Popen[bytes], seconds: float, seed: int) -> None:
+    chance, end = random.Random(seed), time.monotonic() + seconds
+    while time.monotonic() < end:
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(chance.uniform(0.15, 0.3))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(chance.uniform(0.1, 0.2))
+
+
+async def phase(
+    folder: Path, ports: list[int], way: str, look: bool, seconds: float, seed: int
+) -> tuple[str, Left, int]:
+    name = f"{way}-{'with' if look else 'without'}"
+    core = max(os.sched_getaffinity(0)) if way == "busy" else None
+    of, left, load = Process(folder, name, ports, look, core), Left(), list[subprocess.Popen[bytes]]()
+    try:
+        places = await of.ready()
+        if core is not None:
+            burn = f"import time\nend = time.monotonic() + {seconds + 3}\nwhile time.monotonic() < end: pass"
+            load = [subprocess.Popen([sys.executable, "-c", burn]) for _ in range(BUSY)]
+            for each in load:
+                os.sched_setaffinity(each.pid, {core})
+        work = [platform(places[0], name, seconds, left, seed)]
+        work += [objects(places[1], shard, seconds, left, seed) for shard in range(SHARDS)]
+        if way == "stopped":
+            work.append(stops(of.process, seconds, seed))
+        await asyncio.gather(*work)
+    finally:
+        code = of.end()
+        for each in load:
+            each.kill()
+            each.wait()
+    return name, left, code
+
+
+def after(name: str, left: Left, rows: list[dict[str, Any]]) -> dict[str, Any]:
+    """ms from leaving to each attempt begun later: clients' own requests by their ids, objects' blocks by
+    shard and time, as one object at a time goes in there."""
+    told = left.by_id
+    late = [(r["t"] - told[r["id"]]) / 1e6 for r in rows if r["id"] in told]
+    before = {r["id"] for r in rows if r["id"] in told and r["t"] <= told[r["id"]]}
+    made: dict[str, Any] = {"clients": len(told), "waiting": len(told.keys() - before)}
+    made["late"] = sorted(x for x in late if x > 0)
+    writes = [(r["shard"], r["t"]) for r in rows if r["class"] == "write"]
+    spans = [(shard, *span) for shard, of in left.objects.items() for span in of]
+    made["objects"] = len(spans)
+    made["blocks"] = sorted(
+        (t - since) / 1e6
+        for shard, since, until in spans
+        for s, t in writes
+        if s == shard and since < t < until
+    )
+    return made
+
+
+class Asking(asyncio.Protocol):
+    """Asks again as soon as it is answered."""
+
+    def __init__(self, chance: random.Random, name: str) -> None:
+        self.chance, self.name, self.count, self.on = chance, name, 0, True
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.ask()
+
+    def ask(self) -> None:
+        self.count += 1
+        self.transport.write(asked(f"{self.name}-{self.count}", self.chance))
+
+    def data_received(self, data: bytes) -> None:
+        if self.on:
+            self.ask()
+
+
+async def turn(address: tuple[str, int], of: Process, name: str) -> float:
+    """us of the front's processor time a request."""
+    loop, used = asyncio.get_running_loop(), of.used()
+    made = [Asking(random.Random(f"{name}/{k}"), f"{name}-{k}") for k in range(ASKING)]
+    for each in made:
+        await loop.create_connection(lambda each=each: each, *address)  # type: ignore[misc]
+    await asyncio.sleep(PART)
+    for each in made:
+        each.on = False
+    await asyncio.sleep(0.1)
+    used = of.used() - used
+    for each in made:
+        each.transport.close()
+    return used / 1000 / sum(each.count for each in made)
+
+
+async def cost(folder: Path, ports: list[int]) -> list[tuple[float, float]]:
+    """us a request without and with the look, turn by turn; who goes first changes."""
+    both = [Process(folder, f"cost-{look}", ports, look) for look in (False, True)]
+    try:
+        places = [(await of.ready())[0] for of in both]
+        made = []
+        for k in range(PAIRS + 1):
+            got = {}
+            for look in (0, 1) if k % 2 else (1, 0):
+                got[look] = await turn(places[look], both[look], f"{k}-{look}")
+            made.append((got[0], got[1]))
+        return made[1:]  # the first one warms both
+    finally:
+        for of in both:
+            of.end()
+
+
+async def call() -> float:
+    """us of one look by itself, on a connection that stands."""
+    loop, seen = asyncio.get_running_loop(), list[Any]()
+    clients = Clients(9, lambda: 0, Counters(), 0, 1 << 20, print)
+
+    class Handler:
+        body_most, dated, single, retry_after, slow_bodies = 0, False, frozenset[bytes](), 0, False
+
+        def request(self, conn: Any, message: Any) -> None:
+            seen.append(conn)
+
+        def gone(self, conn: Any) -> None: ...
+
+        def bad(self, conn: Any, status: int, why: str) -> None: ...
+
+    listener = Listener(Handler(), clients, ("127.0.0.1", 0), loop)
+    with socket.create_connection(listener.address) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        while not seen:
+            await asyncio.sleep(0.001)
+        looks: Callable[[], bool] = seen[0].has_left
+        assert not looks() and hasattr(select, "POLLRDHUP")
+        took = []
+        for _ in range(7):
+            begin = time.perf_counter_ns()
+            for _ in range(20_000):
+                looks()
+            took.append((time.perf_counter_ns() - begin) / 20_000 / 1000)
+    listener.close()
+    return statistics.median(took)
+
+
+def stand_ins(
+    folder: Path, name: str, base: int, unit: float
+) -> tuple[subprocess.Popen[bytes], list[int], Path]:
+    listed, record = folder / f"{name}.list", folder / f"{name}.record"
+    ports = list(range(base, base + SHARDS))
+    listed.write_text(sheet(1, [server(f"n{k}", port, k) for k, port in enumerate(ports)]))
+    words = ["--synthetic", "--quiet", "--record", str(record), "--unit-ms", str(unit)]
+    call = [sys.executable, "-B", "-m", "umberlead", "standin", str(listed), *words]
+    return subprocess.Popen(call, cwd=ROOT, stderr=subprocess.DEVNULL), ports, record
+
+
+async def measure(seconds: float, seed: int) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory() as root:
+        folder, base = Path(root), 21000 + (os.getpid() * 37) % 20000
+        slow, ports, record = stand_ins(folder, "slow", base, 24.0)
+        quick, quick_ports, _ = stand_ins(folder, "quick", base + SHARDS, 0.05)
+        lefts, codes = dict[str, Left](), list[int]()
+        try:
+            await asyncio.sleep(1.5)
+            for way in WAYS:
+                for look in (False, True):
+                    name, lefts[name], code = await phase(folder, ports, way, look, seconds, seed)
+                    codes.append(code)
+            slow.terminate()
+            slow.wait(20)
+            pairs = await cost(folder, quick_ports)
+        finally:
+            for each in (slow, quick):
+                each.terminate()
+                each.wait(20)
+        rows = [loads(line) for line in record.read_text().splitlines()]
+        return {
+            "ways": {name: after(name, left, rows) for name, left in lefts.items()},
+            "pairs": pairs, "call": await call(), "codes": codes,
+        }  # fmt: skip
+
+
+def row(name: str, of: dict[str, Any]) -> str:
+    way, look = name.split("-")
+    cells = [way, look, of["clients"], of["waiting"]]
+    for late in (of["late"], of["blocks"]):
+        cells += [sum(x > 10 for x in late), sum(x > 100 for x in late), f"{max(late, default=0.0):.1f}"]
+    cells.insert(7, of["objects"])
+    return "| " + " | ".join(map(str, cells)) + " |"
+
+
+def table(made: dict[str, Any], seconds: float, seed: int) -> str:
+    without, with_ = (statistics.median(p[k] for p in made["pairs"]) for k in (0, 1))
+    more = sorted(b - a for a, b in made["pairs"])
+    heads = [
+        "front", "look", "requests whose client left", "of these not begun before",
+        "begun over 10 ms after", "over 100 ms", "latest, ms",
+        "objects whose client left", "blocks begun over 10 ms after", "over 100 ms", "latest, ms",
+    ]  # fmt: skip
+    text = "# Attempts begun after their client left\n\n"
+    text += f"`make bench-leaving`; {seconds:g} s each, seed {seed}. Latest: the last request that stand-ins"
+    text += " read whole after its client had left; what they take to read it is in it. Without the look: as"
+    text += " the program was before it. Each front serves alone.\n\n"
+    text += "| " + " | ".join(heads) + " |\n| --- |" + " --- |" * (len(heads) - 1) + "\n"
+    text += "\n".join(row(name, of) for name, of in made["ways"].items()) + "\n\n"
+    text += "| the look's cost | us |\n| --- | --- |\n"
+    text += f"| a call by itself | {made['call']:.2f} |\n"
+    text += f"| processor time a request without, with; medians of {len(more)} turns | {without:.1f}, "
+    text += f"{with_:.1f} |\n"
+    text += f"| difference of a pair: median, least, most | {statistics.median(more):+.1f}, {more[0]:+.1f}, "
+    text += f"{more[-1]:+.1f} |\n\nExit codes of the fronts: {', '.join(map(str, made['codes']))}.\n"
+    return text
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=6)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--keep", action="store_true", help="write docs/measurements")
+    parser.add_argument("--front", nargs=2, metavar=("CONFIG", "LOOK"), help="for the fronts it starts")
+    words = parser.parse_args()
+    if words.front:
+        return front(*words.front)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        made = runner.run(measure(words.seconds, words.seed))
+    text = table(made, words.seconds, words.seed)
+    print(text)
+    if words.keep:
+        (OUT / "leaving.md").write_text(text)
+    looked = [of for name, of in made["ways"].items() if name.endswith("-with")]
+    good = all(max([*of["late"], *of["blocks"]], default=0) <= 100 for of in looked)
+    return 0 if good and not any(made["codes"]) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
