Let the judge on sockets not charge a front with its own process's lateness

Seen: one request unanswered by the judge's 50 ms in a rehearsal of faults.script whose own process was 83 ms behind. Read in emulator/sockets.py, three ways in which that process's lateness becomes the front's; the record of that play does not tell which it was, or whether it was one of them: - A loop held up in a callback runs its timers before it reads: `_leave` broke the connection on which the answer already lay, and none was written down. - An answer read late was written down with the time of the reading (`answered`), and judge.py compares that. - `_ask` counted X-Budget when a client asked, though on a new connection, or once more on one, the request was written later (`_connect`, `once_more`): the front answered in the time it was told, and that was too late.

--- a/umberlead/emulator/records.py
+++ b/umberlead/emulator/records.py
@@ -31,6 +31,7 @@
     id: str
     kind: str  # served, refused, failed
     body: str = ""
+    behind: int = 0  # us that who wrote this down was late itself: it may have been there for so long
 
 
 @dataclass(slots=True)
--- a/umberlead/emulator/sockets.py
+++ b/umberlead/emulator/sockets.py
@@ -33,6 +33,7 @@
 START_UP = 30.0  # s in which every front must listen
 END = 15.0  # s for a front to end after SIGTERM
 BEAT = 2.0  # s between empty lines of a watch
+PULSE = 0.005  # s between looks at this process's own lateness; less than that counts as none
 STATUS = {"up": "ready", "draining": "draining", "gone": "gone"}
 KINDS = {200: "served", 429: "refused", 503: "refused"}
 WORDS = {
@@ -69,6 +70,28 @@
     return made
 
 
+class Lateness:
+    """How far this process is behind, as of the sockets that it reads from now. A loop that was held up runs
+    its timers first, then reads: what it finds may have lain there since it looked last."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self._turn, self._due = loop, 0.0, loop.time()
+        self._beat()
+
+    def _beat(self) -> None:
+        now = self.loop.time()
+        self._turn, self._due = now - self._due, now + PULSE
+        self.loop.call_at(self._due, self._beat)
+        self.loop.call_soon(self.loop.call_soon, self._read)
+
+    def _read(self) -> None:
+        self._turn = 0.0  # the turn's reading is over
+
+    def us(self) -> int:
+        late = max(self._turn, self.loop.time() - self._due)
+        return int(late * SECOND) if late > PULSE else 0
+
+
 class _Messages(asyncio.Protocol):
     """Requests as they come whole; what both servers here are made of."""
 
@@ -305,7 +328,7 @@
         self.play, self.front = play, front
         self.transport: asyncio.Transport | None = None
         self.of: Try | None = None
-        self.words = b""
+        self.words: Callable[[], bytes] = bytes
         self.reused = self.begun = False
         self._fresh()
 
@@ -316,10 +339,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
-    def ask(self, of: Try, words: bytes, reused: bool) -> None:
+    def ask(self, of: Try, words: Callable[[], bytes], reused: bool) -> None:
         self.of, self.words, self.reused, self.begun = of, words, reused, False
         assert self.transport is not None
-        self.transport.write(words)
+        self.transport.write(words())  # the time that is left counts from now
 
     def data_received(self, data: bytes) -> None:
         self.begun = True
@@ -415,6 +438,7 @@
 
     async def play(self, progress: Callable[[float], None] | None = None) -> Records:
         self.loop = asyncio.get_running_loop()
+        self.lateness = Lateness(self.loop)
         with tempfile.TemporaryDirectory(dir="/dev/shm" if os.path.isdir("/dev/shm") else None) as folder:
             try:
                 await self._start(Path(folder))
@@ -666,16 +690,22 @@
     def _ask(self, of: Try) -> None:
         block, shard = self.stage.ask(self.now(), of)
         r = of.of
-        left = max(of.until - self.now(), 0) / SECOND
         body = r.block.encode() if r.write else b""
-        head = (
-            f"{'PUT' if r.write else 'GET'} /{r.class_name}?block={block} HTTP/1.1\r\nHost: service\r\n"
-            f"X-Call-Id: {of.id}\r\nX-Plan: {r.plan}\r\nX-Budget: {left:.3f}\r\n"
-            f"X-IO: volume={r.volume},units={r.units},shard={shard},hosts={r.hosts}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        words = head.encode() + body
-        self.at(of.until + SLACK, lambda: self._leave(of))
+
+        def words() -> bytes:
+            left = max(of.until - self.now(), 1000) / SECOND
+            head = (
+                f"{'PUT' if r.write else 'GET'} /{r.class_name}?block={block} HTTP/1.1\r\nHost: service\r\n"
+                f"X-Call-Id: {of.id}\r\nX-Plan: {r.plan}\r\nX-Budget: {left:.3f}\r\n"
+                f"X-IO: volume={r.volume},units={r.units},shard={shard},hosts={r.hosts}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
+            return head.encode() + body
+
+        # Where this process was held up, an answer that came in time is here and not read yet: one turn of
+        # the loop reads it.
+        leave = lambda: self.loop.call_soon(self._leave, of)  # noqa: E731
+        self.at(of.until + SLACK, lambda: self.loop.call_soon(leave))
         front = self.fronts[r.front]
         if front.idle:
             client = front.idle.pop()
@@ -683,7 +713,7 @@
             return client.ask(of, words, True)
         self._spawned(self._connect(of, words))
 
-    async def _connect(self, of: Try, words: bytes) -> None:
+    async def _connect(self, of: Try, words: Callable[[], bytes]) -> None:
         front = self.fronts[of.of.front]
         try:
             _, client = await self.loop.create_connection(lambda: _Client(self, front), *front.address)
@@ -694,13 +724,13 @@
         self._asking[of.id] = client
         client.ask(of, words, False)
 
-    def once_more(self, of: Try, words: bytes) -> None:
+    def once_more(self, of: Try, words: Callable[[], bytes]) -> None:
         if of.id in self.stage.open:
             self._spawned(self._connect(of, words))
 
     def answered(self, of: Try, kind: str, body: str) -> None:
         self._asking.pop(of.id, None)
-        self._again(self.stage.answer(self.now(), of, kind, body))
+        self._again(self.stage.answer(self.now(), of, kind, body, self.lateness.us()))
 
     def broke(self, of: Try) -> None:
         """Its front ended the connection without an answer."""
--- a/umberlead/emulator/world.py
+++ b/umberlead/emulator/world.py
@@ -75,9 +75,9 @@
         )  # fmt: skip
         return r.block, shard
 
-    def answer(self, at: int, of: Try, kind: str, body: str = "") -> Try | None:
+    def answer(self, at: int, of: Try, kind: str, body: str = "", behind: int = 0) -> Try | None:
         """The answer's row; what its client then asks again."""
-        self.records.answered.append(Answered(at, of.id, kind, body))
+        self.records.answered.append(Answered(at, of.id, kind, body, behind))
         if self.open.pop(of.id, None) is None:
             return None  # it has left, or was answered before
         return self.clients.again(of, kind, at)
