Cut off the rest of a request that is given up partly written, within the same turn

Seen in a trial: a request larger than the system takes at once is partly written; its client leaves, and in the same turn its chunk server reads. An upload's part would be sent again.

Checked: transport.abort() of uvloop closes the descriptor a turn later, and libuv writes on where there is room in the meantime. Ruled out: a connection that is not up, and a request not begun to be written (nothing is there to follow). At fault: NodeConnection.give_up, which went by the abort alone.

Now the sending is shut down before the abort where a write is paused, which gives the attempt up by the protocol too. The test fails without it (786432 bytes of 786432 arrived) for a close and a half-close. Of a reset the front is told by uvloop a turn later, when all is written: that attempt counts as one that may have run, as it may.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -40,6 +40,7 @@
     ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
     ("client gone: not looked for as an attempt is decided", ENGINE, "            or not self.client_waits(ticket)\n", ""),
     ("client gone: not looked for as its connection is up", ATTEMPTS, "if not self.pool.client_waits(self.attempt.ticket):", "if False:"),
+    ("client gone: the rest of a request follows in that turn", ATTEMPTS, "if self._paused and not self.written:\n                self._cut()", "if False:\n                self._cut()"),
     ("client gone: what was decided with it has no outcome", ENGINE, "for act, ticket in [(act, self._named(act)) for act in acts]:", "for act, ticket in ((act, self._named(act)) for act in acts):"),
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
     ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -2,13 +2,15 @@
 and however it leaves. Judged by what chunk servers were asked; nothing here waits for time to pass."""
 
 import asyncio
+import contextlib
 import os
+import re
 import socket
 import struct
 import time
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import pytest
@@ -34,7 +36,10 @@
     NAME WAY unread     it leaves once an answer to it stands unread in the front, having read some of it
     NAME WAY            it leaves now
     NAME behind, paused waits until a request of the client's stands behind another; until it is not read on
-    NAME deaf, hears    a chunk server reads nothing on connections that come; it reads all of it
+    NAME deaf, hears    a chunk server reads nothing on connections that come, and little more fits with the
+                        system; it reads all of it
+    NAME WAY as NODE reads  it leaves, and a deaf server reads all there is, in one turn: what the front has
+                        left to write fits now, and must not follow
     partly              waits until a request is partly written
     clean               nothing of any request is left with the front, its module, or a node's account, once
                         those that ended their sending have closed"""
@@ -54,9 +59,8 @@
             case [name, ">"] if name in self.plain:
                 self.plain[name].sendall(b"".join(self._bytes(line, False) for line in lines))
             case [name, "slow"]:
-                fd = (await self._known(name)).transport.get_extra_info("socket").fileno()
-                with socket.socket(fileno=os.dup(fd)) as of:
-                    of.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+                conn = await self._known(name)
+                _small(conn.transport.get_extra_info("socket").fileno(), socket.SO_SNDBUF)
             case [name, way, "at", "send", number]:
                 self._at_send(await self._start(), name, way, int(number))
             case [name, way, "at", "dial"]:
@@ -93,12 +97,21 @@
             case [name, "deaf"]:
                 node, accept = self.nodes[name], self.nodes[name].accept
                 self.deaf.add(name)
+                _small(self.servers[-1].sockets[0].fileno(), socket.SO_RCVBUF)
+                up = NodeConnection.connection_made
+
+                def narrow(conn: NodeConnection, transport: Any) -> None:
+                    _small(transport.get_extra_info("socket").fileno(), socket.SO_SNDBUF, 65536)
+                    up(conn, transport)
+
+                self.patches.enter_context(mock.patch.object(NodeConnection, "connection_made", narrow))
 
                 def quiet(scripted: bool) -> Peer:
                     peer = accept(scripted)
                     if name in self.deaf:
                         begin = peer.connection_made
-                        peer.connection_made = lambda t: (begin(t), t.pause_reading())  # type: ignore
+                        later = asyncio.get_running_loop().call_soon  # reading begins behind the call
+                        peer.connection_made = lambda t: (begin(t), later(t.pause_reading))  # type: ignore
                     return peer
 
                 self.patches.enter_context(mock.patch.object(node, "accept", quiet))
@@ -109,6 +122,34 @@
             case ["partly"]:
                 front = await self._start()
                 await self._until(lambda: any(c._paused and not c.written for c in front.pool.slots))
+            case [name, way, "as", node, "reads"]:
+                front, peer = await self._start(), self.nodes[node].peers[-1]
+                fd = peer.transport.get_extra_info("socket").fileno()
+                link, done = next(c for c in front.pool.slots if c._paused), asyncio.Event()
+                wire = cast(asyncio.Transport, link.transport)
+                with socket.socket(fileno=os.dup(fd)) as sock:
+
+                    def read(most: int) -> None:
+                        with contextlib.suppress(BlockingIOError, ConnectionResetError):
+                            while most > 0 and (data := sock.recv(min(most, 4096))):
+                                peer.got += data
+                                most -= len(data)
+
+                    def both() -> None:
+                        self._leave(name, way)
+                        read(1 << 30)
+                        done.set()
+
+                    while wire.get_write_buffer_size() > 50_000:
+                        read(4096)
+                        await asyncio.sleep(0)
+                    assert not link.written
+                    asyncio.get_running_loop().call_later(0.002, both)
+                    await done.wait()
+                    await self._until(lambda: link.over)
+                    read(1 << 30)
+                head, _, body = peer.got.partition(b"\r\n\r\n")
+                assert len(body) < int(re.findall(rb"Content-Length: (\d+)", head)[0])
             case ["clean"]:
                 front = await self._start()
                 for sock in self.half:
@@ -181,6 +222,11 @@
         assert not conn.left  # the front was not told
 
 
+def _small(fd: int, buffer: int, size: int = 8192) -> None:
+    with socket.socket(fileno=os.dup(fd)) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, buffer, size)
+
+
 def block(n: int) -> str:
     return f"{n:016x}"
 
@@ -416,16 +462,27 @@
          f"n0 ran {block(3)} 0\nclean\ncounter requests_taken 3\n")  # fmt: skip
 
 
+LARGE = f"{{}} >\n| PUT /write?block={block(1)} HTTP/1.1\n& ask {{}}1 / 0\n| Content-Length: 786432\n|\n"
+LARGE += "% 3 @ 0 262144\n"
+
+
 @pytest.mark.parametrize("way", WAYS)
 def test_a_request_that_is_partly_written_is_not_written_on(way: str) -> None:
     """Its chunk server reads nothing for now: the rest must not follow."""
-    play("node n0 0\nn0 deaf\nclient a platform\nclient b platform\nmemory 100000000\n",
-         f"a >\n| PUT /write?block={block(1)} HTTP/1.1\n& ask a1 / 0\n| Content-Length: 25165824\n|\n",
-         "% 96 @ 0 262144\n", f"partly\ncounter attempts_written 0\na {way}\nuntil clients_gone 1\n",
+    play("node n0 0\nn0 deaf\nclient a platform\nclient b platform\n", LARGE.format("a", "a"),
+         f"partly\ncounter attempts_written 0\na {way}\nuntil clients_gone 1\n",
          "until attempts_moot 1\nn0 hears\n", asks("b", 2), DONE.format("b"),
          f"n0 ran {block(1)} 0\nwrites n0 PUT 1\nclean\n")  # fmt: skip
 
 
+@pytest.mark.parametrize("way", WAYS[:2])  # of a reset the front is told a turn later, all of it written
+def test_the_rest_of_a_request_does_not_follow_in_the_turn_that_gives_it_up(way: str) -> None:
+    """It counts as never run; an upload's part would be sent again."""
+    play("node n0 0\nn0 deaf\nplain c platform\nclient b platform\n", LARGE.format("c", "c"), "partly\n",
+         f"c {way} as n0 reads\nuntil attempts_moot 1\nn0 hears\n", asks("b", 2), DONE.format("b"),
+         f"n0 ran {block(1)} 0\nclean\n")  # fmt: skip
+
+
 PUT = "{} >\n& put /scans/k / {}\n@ 0 {}\n"
 PART = "{} >\n& put /scans/big?partNumber=1&uploadId={{id}} / {}\n@ 0 {}\n"
 CREATE = "p >\n| POST /scans/big?uploads HTTP/1.1\n|\np <\n& created big / id\n"
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -4,9 +4,11 @@
 that nothing ran, and a reset, which does not. Nothing is ever sent again from here."""
 
 import asyncio
+import contextlib
 import errno
 import re
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol, cast
@@ -474,8 +476,20 @@
         """The outcome comes once the connection is closed, so the next attempt never overlaps this one."""
         if self.why is None and not self.closed:
             self.why = why
+            if self._paused and not self.written:
+                self._cut()
             self.close()
 
+    def _cut(self) -> None:
+        """The rest of what is partly written must not follow: uvloop closes an aborted connection a turn
+        later, and may find room for all of it in between. It would run, and count as proven not to have."""
+        if self.transport is not None and not self.transport.is_closing():
+            fd = self.transport.get_extra_info("socket").fileno()
+            same = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)  # not a descriptor more
+            with contextlib.suppress(OSError):  # it has ended already
+                same.shutdown(socket.SHUT_WR)
+            same.detach()
+
     def slow(self) -> None:
         """Not up yet. Where the front itself stood still (a slow core, SIGSTOP), timers run before what came
         meanwhile is looked at: one more tick, or a connection that is up counts as a server that is not."""
