--- a/umberlead/recovery/warming.py
+++ b/umberlead/recovery/warming.py
@@ -1,9 +1,9 @@
 """How much of its capacity a chunk server has after a start, and what each process may send there.
 
 It falls by the sum of what all processes send, served or not: where N requests of mean work are what the
-settings allow in a window (`cold_units` at the start, growing as slowly as a server may warm up), 2 root N + 2
-more are put down to chance. No process sees what the others send. So each has a part, all parts are about one,
-and a part is sent evenly from a first moment that is drawn."""
+settings allow in a window (`cold_units` at the start, growing as slowly as a server may warm up),
+2 root N + 2 more are put down to chance. No process sees what the others send. So each has a part, all parts
+are about one, and a part is sent evenly from a first moment that is drawn."""
 
 import math
 
