Take back that further tries are told by what they ask for: it costs more than it wins

Impatient first tries look late again where repeats are not marked, as before; docs/crossings.md calls it open. The tests are those of before.

--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -16,7 +16,6 @@
 from umberlead.core.interface import Effect, NodeState, Result
 from umberlead.core.level import Level
 from umberlead.core.records import Item, Try
-from umberlead.core.retries import Retries
 from umberlead.core.volumes import Volumes
 from umberlead.core.weighted import Smooth
 from umberlead.recovery.warming import SERVED, Asked, most, rest, warm
@@ -229,7 +228,6 @@
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
         self.key_rests: dict[str, int] = {}
         self.stored = dict[str, int](), dict[str, int]()  # where new objects went; this span, last
-        self.retries = Retries()
         self.patience: dict[str, int] = {}  # most time a client of the class has left on arrival
         self.taken, self.resent = deque[int](), deque[int]()  # when: the budget's two counts
         self.due: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
@@ -351,13 +349,14 @@
         return (when, views[k]) if when < NEVER else (NEVER, None)
 
     def take(self, req: api.Request) -> None:
-        """A new request. The aim of a client's further try is counted from its first. One that is marked and
-        was not seen here must have begun the longest time of its class before its client gives up."""
+        """A new request. A client's second try has less time left than the longest seen for its class: its
+        aim is counted from where its first try must have begun. Where clients mark their repeats, any other
+        is a first try however impatient its client (ib57330); where not, impatience still looks late."""
         now, cls = self.now, self.classes[req.class_name]
         self.taken.append(now)
         patience = self.patience[cls.name] = max(self.patience.get(cls.name, 0), req.give_up - now)
-        first = self.retries.first(req, req.give_up - patience if self.s.marked and req.repeat else now)
-        aim_at = min(cls.aim + first, req.give_up)
+        first = self.s.marked and not req.repeat
+        aim_at = min(cls.aim + (now if first else req.give_up - patience), req.give_up)
         item = self.items[req.request] = Item(req, cls, self.plans[req.plan], now, aim_at, next(self.seq))
         self.volumes.asked(req, self.s.plans[item.plan], now)
         if req.shard >= 0:
@@ -403,7 +402,6 @@
             self.acts.append(api.Refuse(item.req.request, self.s.retry_after_max))
         else:
             self.acts.append(api.Fail(item.req.request))
-        self.retries.told(item.req, item.aim_at - item.cls.aim, self.now)
         self.conclude(item)
 
     def conclude(self, item: Item) -> None:
