--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -18,7 +18,7 @@
 from umberlead.core.records import Item, Try
 from umberlead.core.volumes import Volumes
 from umberlead.core.weighted import Smooth
-from umberlead.recovery.warming import SERVED, Asked, most, rest, warm
+from umberlead.recovery.warming import rest, warm
 
 INTERVAL = 500_000  # us between control steps: the paper's interval for its file server
 FEW = 5  # answers under which shares stay (Fig. 3 of the paper): the interval goes on until it has them
@@ -38,9 +38,11 @@
 MOSTLY = 0.9  # most of its aim that a request is thought to take at a node: on arrival all have a chance
 MOST = 3.0  # most targets that one answer counts for
 KEPT = 10_000_000  # us that a silent volume is kept: longer than its due store takes to fill
+PRIOR = 0.1  # units that a head counts as asked of every shard before it has seen any
 SICK = 0.3  # part of errors from which a node gets no new objects while others can take them
 CALM = 0.5  # targets that answers take at most where there is room for who can wait
 PATIENT = 6  # targets before its aim until which a request can wait: for others there is no later
+PART = 1 / 3  # most of a shard's traffic that a head takes for its own
 
 
 class Controller:
@@ -99,18 +101,15 @@
         self.level, self.out, self.rest_until = Level(now, SMOOTH, MEMORY, MOST, head.fleet), 0.0, 0
         self.faults = Level(now, 2 * SMOOTH, 2 * MEMORY, 1.0)  # part of answers that are errors
         self.passed = 0  # when the latest sent of those served was sent
-        # what our last life sent is not known; the second, at the pace of the most, is never given back
-        self.cold_until = self.paced = float(max(now, head.born + s.cold_window))
+        self.cold_until: float = max(now, head.born + s.cold_window)  # what our last life sent is not known
         self.target = int(TARGET * min(c.aim for c in s.classes))
 
     def cap(self) -> float:
         return min(BOUND * self.s.mean_units, self.info.units or NEVER)
 
-    def cold_cost(self, at: float, units: float, rate: float | None = None) -> float:
-        """How long `units` take from `at` of this head's part of a warming node: of the most that all may
-        send, or of `rate` of what it bears."""
-        rate = most(self.s, self.info, at) if rate is None else rate
-        return rest(self.s, self.info, at, units, rate * self.part(self.info.shard))
+    def cold_cost(self, now: int, units: float) -> float:
+        """How long `units` take of this head's part of a warming node; in the mean if below a request."""
+        return rest(self.s, self.info, now, units, self.part(self.info.shard))
 
     def ready(self, now: int, units: float) -> float:
         """When the node may take `units` more."""
@@ -118,10 +117,10 @@
             self.out and self.out + units > min(self.bound, self.cap())
         ):
             return NEVER
-        if warm(self.s, self.info, now) == 1:
+        if not (cost := self.cold_cost(now, units)):
             return max(self.rest_until, now)
-        first = self.cold_cost(self.paced, self.by * units)  # the first one by chance: heads differ
-        return max(self.rest_until, self.cold_until, self.paced + first)
+        first = self.by * max(cost - self.s.cold_window, 0.0)  # before the first one, by chance: heads differ
+        return max(self.rest_until, self.cold_until + first)
 
     def sick(self, now: int) -> bool:
         """Who has a choice goes elsewhere: who fails quickly looks idle. What only it has is still asked."""
@@ -132,14 +131,13 @@
         return now + max(OVERDUE * mean, self.target)
 
     def send(self, now: int, units: float) -> Try:
-        """Two charges for a cold node: one of the multiple is set aside for what is served, so the first,
-        of the rest, is given back by service; the second holds what all send in a window, served or not."""
+        """What is served can't pass a cold node's capacity: one of the multiple is set aside for it, the
+        rest is charged for what is not served. Service gives that back, but for one in the multiple where
+        the part is below a request: many heads may be waiting for the same."""
         self.out, self.by = self.out + units, 0.0
-        at, one = max(self.cold_until, now), 1 / max(self.s.cold_multiple, 1.01)
-        if cost := self.cold_cost(at, units / (1 - one), SERVED):
-            self.paced = now + self.cold_cost(now, units)
-        self.cold_until = at + cost
-        return Try(self, now, units, cost)
+        cost, one = self.cold_cost(now, units), 1 / max(self.s.cold_multiple, 1.01)
+        self.cold_until = max(self.cold_until, now) + int(cost / (1 - one))
+        return Try(self, now, units, cost / (1 - one) - (0 if cost < self.s.cold_window else one * cost))
 
     def answer(self, now: int, tried: Try, result: Result, elapsed: int, pressed: bool) -> None:
         """Bound and health follow each outcome."""
@@ -223,7 +221,7 @@
         self.taken_out: dict[str, int] = {}  # by hand, and when
         self.put_back: dict[str, tuple[int, int]] = {}  # taken out, and back again: restarted in between
         self.smooth, self.offered = Smooth(), dict[str, float]()
-        self.asked = Asked()
+        self.asked: dict[int, float] = {}  # units by shard, of late
         self.lanes, self.volumes = dict[int, Lane](), Volumes(s, now)
         self.chains: dict[str, deque[Item]] = {}  # ordered classes: requests of a key, as taken
         self.key_rests: dict[str, int] = {}
@@ -280,7 +278,7 @@
         for lane in self.lanes.values():
             lane.prune(self.volumes)
         self.stored = ({}, self.stored[0])
-        self.asked.fade()
+        self.asked = {k: units / 2 for k, units in self.asked.items() if units > PRIOR}
         self.at(self.now + KEPT, self.prune)
 
     def listed(self, news: api.NodeList) -> None:
@@ -319,8 +317,11 @@
             self.dirty |= {view.info.shard: None, -1: None}
 
     def part(self, shard: int) -> float:
-        """Of what all heads may send to a shard's warming node, 0 to 1."""
-        return self.asked.part(self.s, shard)
+        """This head's part of a shard's traffic: its own share of units that go there, over the even share,
+        is the head's even part in the mean of all. Who seldom asks leaves its part to others."""
+        s, own, known = self.s, self.asked.get(shard, 0.0) + PRIOR, sum(self.asked.values())
+        share = own / (known + PRIOR * s.shards) * s.shards if s.shards > 0 <= shard else 1.0
+        return max(min(share, PART * s.heads), 1.0) / s.heads
 
     def pick(self, shard: int, units: float) -> tuple[float, NodeView | None]:
         """The shard's node that can take `units` soonest; of those, where an answer comes soonest. So new
@@ -360,7 +361,7 @@
         item = self.items[req.request] = Item(req, cls, self.plans[req.plan], now, aim_at, next(self.seq))
         self.volumes.asked(req, self.s.plans[item.plan], now)
         if req.shard >= 0:
-            self.asked.add(req.shard, req.units)
+            self.asked[req.shard] = self.asked.get(req.shard, 0.0) + req.units
         if cls.ordered and req.key is not None:
             self.chains.setdefault(req.key, deque()).append(item)
             self.turn(req.key)
