Cut net/http.py by job, with the field's names for its parts, limits and states

One file of 805 lines held the parsing, the places, accepting, time-outs, replies and relayed answers of clients' connections, under names of its own (`gone`, `deaf`, `patience`, `spare`, `PLENTY`, `PACE`).

Now a module a job: http_message.py (request, rejection, head of a reply), request_parser.py (httptools' callbacks and what is refused), pending_input.py (what is sent ahead), timeouts.py (rules on times, pure), socket_state.py (what the system holds), relay.py (long replies), connection_state.py (state and questions of it), server_connection.py (order, replies, ends), client_connections.py (places, eviction, memory) and listener.py. Constants carry their units: PLENTY is IDLE_EVICTION_THRESHOLD, GRACE ACCEPT_GRACE_US, PACE MIN_BODY_RATE, TRICKLE MIN_UPLOAD_RATE, LINGER LINGER_TIMEOUT_US, SHARE ACCEPT_BATCH, UNREAD WRITE_STALL_TIMEOUT_US, REQUEST_TIME REQUEST_TIMEOUT_US, LACK LOCAL_RESOURCE_ERRNOS. A front's handler has `client_disconnected` and `reject` for `gone` and `bad`. Tests, planted mistakes, recorded exchanges and docs follow; `Clients.draining`, which nothing read, is gone. Behaviour is as it was.

Planted mistakes were checked for their texts being there, not played.

--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -41,7 +41,8 @@
 from benchmarks.watched_lists import OUT, ROOT, server, sheet
 from umberlead.core.counters import Counters
 from umberlead.fronts.objects import digest
-from umberlead.net.http import Clients, Listener
+from umberlead.net.client_connections import Clients
+from umberlead.net.listener import Listener
 
 WAYS, SHARDS, BUSY = ("free", "busy", "stopped"), 8, 2
 RATE, STAY = 500.0, (0.0, 0.3)  # clients a second, and how long they stay, s
@@ -316,21 +317,22 @@
     clients = Clients(9, lambda: 0, Counters(), 0, 1 << 20, print)
 
     class Handler:
-        body_most, dated, single, retry_after, slow_bodies = 0, False, frozenset[bytes](), 0, False
+        max_body_bytes, sends_date, singleton_headers = 0, False, frozenset[bytes]()
+        retry_after, allows_slow_bodies = 0, False
 
         def request(self, conn: Any, message: Any) -> None:
             seen.append(conn)
 
-        def gone(self, conn: Any) -> None: ...
+        def client_disconnected(self, conn: Any) -> None: ...
 
-        def bad(self, conn: Any, status: int, why: str) -> None: ...
+        def reject(self, conn: Any, status: int, reason: str) -> None: ...
 
     listener = Listener(Handler(), clients, ("127.0.0.1", 0), loop)
     with socket.create_connection(listener.address) as sock:
         sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
         while not seen:
             await asyncio.sleep(0.001)
-        looks: Callable[[], bool] = seen[0].has_left
+        looks: Callable[[], bool] = seen[0].check_disconnected
         assert not looks() and hasattr(select, "POLLRDHUP")
         took = []
         for _ in range(7):
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -281,7 +281,7 @@
                 await self._start()
                 self.gate.open.clear() if word == "hold" else self.gate.open.set()
             case ["memory", number]:
-                (await self._start()).groups[0].memory = int(number)
+                (await self._start()).groups[0].memory_limit_bytes = int(number)
             case ["beside"]:
                 front = await self._start()
                 self.patches.enter_context(mock.patch.object(front.shared, "others", lambda: 1))
--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -6,7 +6,8 @@
 
 from tests import planted
 
-HTTP, ENGINE, DECIDE = "umberlead/net/http.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
+CLIENTS, SERVER = "umberlead/net/client_connections.py", "umberlead/net/server_connection.py"
+RELAY, ENGINE, DECIDE = "umberlead/net/relay.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
 ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
 VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
@@ -20,20 +21,20 @@
     "tests/test_volumes.py",
 )
 planted.PLANTED = (  # type: ignore[assignment]
-    ("shutdown: what is half read at the end is left open", HTTP, "if self.message is not None and self.open is None and not self.ended:\n            self.refuse(503", "if False:\n            self.refuse(503"),
-    ("shutdown: what waits behind an answer at the end is taken", HTTP, "        self.over = self.leaving = True\n", "        self.leaving = True\n"),
+    ("shutdown: what is half read at the end is left open", SERVER, "if partial and self.current is None and not self.ended:\n            self.refuse(503", "if False:\n            self.refuse(503"),
+    ("shutdown: what waits behind an answer at the end is taken", CLIENTS, "        self.refusing = self.close_after_reply = True\n", "        self.close_after_reply = True\n"),
     ("shutdown: what was never sent counts as doubtful", ENGINE, "unsent = out is None or (self.carrier is not None and self.carrier.unwanted(out))", "unsent = out is None"),
     ("shutdown: a start that was told to stop listens", FRONT, "if self.told_to_stop:  # before anything was taken", "if False:"),
     ("shutdown: SIGTERM during a start ends it with a signal", START, "    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))\n", ""),
     ("shutdown: SIGHUP during a start is lost", FRONT, "        if EARLY:", "        if False:"),
-    ("shutdown: requests sent ahead are dropped", HTTP, "if not self._more() and (self.clients.leaving", "if (self.clients.leaving"),
-    ("shutdown: what is half read behind another is left open", HTTP, "        if self.clients.over:\n            self.cut_short()\n", ""),
-    ("bad clients: what is sent ahead has no bound", HTTP, "            if self.clients.held > self.clients.memory:\n                self.clients.counters.add(\"bodies_over_memory\")\n                self._drop_ahead()", "            if False:\n                self._drop_ahead()"),
-    ("idle closing: a request that is here goes with its connection", HTTP, "if self.idle() and not self.arriving():", "if self.idle():"),
-    ("idle closing: room is made of one whose request is here", HTTP, "            if victim.arriving():", "            if False:"),
-    ("bad clients: what came before the noise is dropped", HTTP, "self.message, self._bad = None, (status, why, told)", "self.message, self.ended, self.closing = None, True, True"),
-    ("client gone: unseen where reading is paused", HTTP, "if conn.deaf() and conn.coming() & LEFT:", "if False:"),
-    ("client gone: what waits behind is kept", HTTP, "        self.message = self._bad = None\n        self._drop_waiting()\n", "        self.message = self._bad = None\n"),
+    ("shutdown: requests sent ahead are dropped", SERVER, "if not self.has_more_input() and self._closes_with_this_reply():", "if self._closes_with_this_reply():"),
+    ("shutdown: what is half read behind another is left open", SERVER, "        if self.clients.refusing:\n            self.shut_down()\n", ""),
+    ("bad clients: what is sent ahead has no bound", SERVER, "        if self.clients.held_bytes > self.clients.memory_limit_bytes:\n            self.clients.counters.add(\"bodies_over_memory\")\n            self._pending.discard_unparsed()", "        if False:\n            self._pending.discard_unparsed()"),
+    ("idle closing: a request that is here goes with its connection", SERVER, "if self.is_idle() and not self.has_unread_request():", "if self.is_idle():"),
+    ("idle closing: room is made of one whose request is here", CLIENTS, "            if victim.has_unread_request():", "            if False:"),
+    ("bad clients: what came before the noise is dropped", SERVER, "self._rejection = Rejection(status, reason, rejected)", "self.ended = self.close_after_reply = True"),
+    ("client gone: unseen where reading is paused", CLIENTS, "if conn.reading_paused() and conn.pending_events() & DISCONNECT_EVENTS:", "if False:"),
+    ("client gone: what waits behind is kept", SERVER, "        self._rejection = None\n        self._pending.discard()\n", "        self._rejection = None\n"),
     ("client gone: a dial goes on", ENGINE, "                self.carrier.unwanted(ticket.out)\n            self._post(api.ClientGone", "                pass\n            self._post(api.ClientGone"),
     ("client gone: a dial given up counts against the node", ATTEMPTS, "result = self.why if self.written or self.why is Result.MOOT else Result.NO_LINK", "result = self.why if self.written else Result.NO_LINK"),
     ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
@@ -64,10 +65,10 @@
     ("long answers: a flood has no end", ATTEMPTS, "elif self.passed > LONG_MOST:", "elif False:"),
     ("long answers: none gives way at nodes", ATTEMPTS, "            min(late)[2].give_way()\n", "            return False\n"),
     ("long answers: a lower cap ends all connections at rest", ATTEMPTS, "        for _ in range(len(self.slots) - self.most):  # the cap came down; their places are free a turn later\n", "        while len(self.slots) > self.most:\n"),
-    ("long answers: none gives its client's place", HTTP, "        if not late:\n            return False\n", "        return False\n"),
-    ("long answers: to a client of HTTP/1.0 one that broke off looks whole", HTTP, "if not (self._chunked or self.length or self.transport.is_closing()):", "if False:"),
+    ("long answers: none gives its client's place", CLIENTS, "        if not overdue:\n            return False\n", "        return False\n"),
+    ("long answers: to a client of HTTP/1.0 one that broke off looks whole", RELAY, "if not (self._chunked or connection.length or transport.is_closing()):", "if False:"),
     ("long answers: a write's is cut off where its server pauses", ATTEMPTS, "wait = max(wait, PAUSE)", "pass"),
-    ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.leaving = self.processes > 1", "clients.leaving = False"),
+    ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.close_after_reply = self.processes > 1", "clients.close_after_reply = False"),
     ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
     ("limits: what is left above a smaller part is kept", "umberlead/core/buckets.py", "most, min(self.have, most)", "most, self.have"),
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -20,7 +20,8 @@
 from umberlead.core import interface as api
 from umberlead.front import Front
 from umberlead.net.attempts import NodeConnection
-from umberlead.net.http import LEFT, ServerConnection
+from umberlead.net.server_connection import ServerConnection
+from umberlead.net.socket_state import DISCONNECT_EVENTS
 
 WAYS = ["close", "half", "reset"]
 
@@ -86,12 +87,12 @@
                 await over
             case [name, "behind" | "paused" as what]:
                 conn = await self._known(name)
-                await self._until(conn.deaf if what == "paused" else lambda: bool(conn.waiting))
+                await self._until(conn.reading_paused if what == "paused" else lambda: bool(conn.pipelined))
             case [name, way] if name in self.plain and way in WAYS:
                 self._leave(name, way)
             case [name, way, "unread"]:
                 conn = await self._known(name)
-                await self._until(lambda: conn.unread and bool(conn.waiting))
+                await self._until(lambda: conn.write_blocked and bool(conn.pipelined))
                 self.plain[name].recv(1 << 20)
                 self._leave(name, way)
             case [name, "deaf"]:
@@ -163,7 +164,7 @@
         engine = front.engine
         kept = {
             "active": engine.active, "tickets": len(engine.tickets), "items": list(engine.head.items),
-            "held": sum(group.held for group in front.groups),
+            "held": sum(group.held_bytes for group in front.groups),
             "out": sum(v.out for v in engine.head.nodes.values()),
             "tasks": sum(len(getattr(h, "tasks", ())) for h in front.handlers),
         }  # fmt: skip
@@ -186,7 +187,9 @@
         else:
             where = self.peers[name].transport.get_extra_info("sockname")
         known = (conn for group in (self.front.groups if self.front else []) for conn in group.slots)
-        return next((c for c in known if c.transport.get_extra_info("peername") == where), None)
+        found = next((c for c in known if c.transport.get_extra_info("peername") == where), None)
+        assert found is None or isinstance(found, ServerConnection)
+        return found
 
     def _at_send(self, front: Front, name: str, way: str, number: int) -> None:
         handle, seen = front.engine.head.handle, 0
@@ -217,9 +220,9 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.close()
         end = time.monotonic() + PATIENCE
-        while not conn.coming() & LEFT:
+        while not conn.pending_events() & DISCONNECT_EVENTS:
             assert time.monotonic() < end
-        assert not conn.left  # the front was not told
+        assert not conn.client_disconnected  # the front was not told
 
 
 def _small(fd: int, buffer: int, size: int = 8192) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,8 +19,9 @@
 from tests.test_client_leaves import DONE, asks, block, play
 from umberlead.config import Listing
 from umberlead.core.counters import Counters
+from umberlead.net.client_connections import Clients
 from umberlead.net.discovery import Watch
-from umberlead.net.http import Clients, Listener
+from umberlead.net.listener import Listener
 
 ROOT = Path(__file__).resolve().parent.parent
 CLOSING = "{} <\n| HTTP/1.1 {}\n| Content-Length: {}\n| Connection: close\n|\n~ {}\n"
@@ -451,7 +452,7 @@
         now = [T0]
         clients = Clients(2, lambda: now[0], Counters(), 0, 1 << 20, print)
         clients.stopping = True  # connections are kept, however many
-        handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
         handler.request = lambda conn, _: conn.reply(200, (), b"x")
         listener = Listener(handler, clients, ("127.0.0.1", 0), loop)
         came = []
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -27,7 +27,9 @@
 from umberlead import limits
 from umberlead.core.counters import Counters
 from umberlead.net.attempts import NodeConnection, Pool
-from umberlead.net.http import SHARE, Clients, Listener, ServerConnection
+from umberlead.net.client_connections import Clients
+from umberlead.net.listener import ACCEPT_BATCH, Listener
+from umberlead.net.server_connection import ServerConnection
 from umberlead.shared import Shared
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -53,17 +55,17 @@
 
 def _listener(clients: Clients) -> tuple[Listener, list[int]]:
     """A listener, and the descriptors that its connections held as it took each."""
-    handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+    handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
     handler.request = lambda conn, _: conn.reply(200, (), b"x")
     handler.bad = lambda conn, status, why: conn.reply(status, (), b"x")
     made = Listener(handler, clients, ("127.0.0.1", 0), asyncio.get_running_loop())
-    peak, take = list[int](), made._take
+    peak, take = list[int](), made._connect
 
     def taken(sock: socket.socket) -> None:
         take(sock)
         peak.append([_port(int(fd)) for fd in os.listdir("/proc/self/fd")].count(made.address[1]) - 1)
 
-    made._take = taken  # type: ignore[method-assign]
+    made._connect = taken  # type: ignore[method-assign]
     return made, peak
 
 
@@ -112,7 +114,7 @@
         assert clients.counters["clients_evicted"] == 16
         now[0] += 1_000_000
         assert clients.make_room() and clients.make_room()  # for requests that were read in this turn
-        listener._ready()
+        listener._accept_batch()
         assert max(peak) == 16 + limits.surplus(16)
         for sock in came:
             sock.close()
@@ -126,9 +128,9 @@
 
     async def test() -> None:
         clients = Clients(16, lambda: time.monotonic_ns() // 1000, Counters(), 0, 1 << 20, print)
-        clients.stopping = clients.leaving = True
+        clients.stopping = clients.close_after_reply = True
         listener, peak = _listener(clients)
-        listener.hurry()
+        listener.accept_without_delay()
         came, loop = [_asks(listener.address) for _ in range(64)], asyncio.get_running_loop()
         listener.close()
         for sock in came:
@@ -153,15 +155,15 @@
             ServerConnection(listener.handler, clients).connection_made(mock.Mock(is_closing=lambda: False))
         now[0] += 1_000_000
         came = [_asks(listener.address) for _ in range(40)]
-        spare = ServerConnection.spare
+        spare = ServerConnection.is_evictable
 
         def look(conn: ServerConnection, old: int) -> bool:
             looked.append(conn)
             return spare(conn, old)
 
-        with mock.patch.object(ServerConnection, "spare", look):
-            listener._ready()
-        assert (len(looked), listener.coming, clients.going) == (800, SHARE, SHARE)
+        with mock.patch.object(ServerConnection, "is_evictable", look):
+            listener._accept_batch()
+        assert (len(looked), listener.accepting, clients.evicting) == (800, ACCEPT_BATCH, ACCEPT_BATCH)
         await _until(lambda: not listener.tasks)
         for sock in came:
             sock.close()
@@ -173,21 +175,23 @@
 def test_silent_newcomers_keep_no_request_out_and_only_requests_do() -> None:
     """In their grace they can't be told to go, and a client that asked was told that there is no room."""
     clients = Clients(4, lambda: T0, Counters(), 0, 1 << 20, print)
-    handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+    handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
     conns = [ServerConnection(handler, clients) for _ in range(6)]
     for conn in conns:
         conn.connection_made(mock.Mock(is_closing=lambda: False))
     for conn in conns[:5]:
         conn.data_received(b"GET /a HTTP/1.1\r\n\r\n")
     assert [call.args[0] for call in handler.request.call_args_list] == conns[:4]
-    assert [call.args[0] for call in handler.bad.call_args_list] == conns[4:5]
+    assert [call.args[0] for call in handler.reject.call_args_list] == conns[4:5]
 
 
 def test_an_upload_that_hardly_moves_gives_way_at_the_cap_and_another_does_not() -> None:
     """Where a body may take long each byte made its connection new, and a crowd of them kept all places."""
     now = [T0]
     clients = Clients(1, lambda: now[0], Counters(), 0, 1 << 20, print)
-    conn = ServerConnection(mock.Mock(body_most=1 << 20, single=frozenset(), slow_bodies=True), clients)
+    conn = ServerConnection(
+        mock.Mock(max_body_bytes=1 << 20, singleton_headers=frozenset(), allows_slow_bodies=True), clients
+    )
     conn.connection_made(mock.Mock(is_closing=lambda: False))
     conn.data_received(b"PUT /a HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n")
     for pieces, size, pause in ((40, 5_000, 2_000_000), (40, 1, 50_000)):  # 2.5 kB/s, and then hardly
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -17,7 +17,8 @@
 from umberlead.core.engine import Engine
 from umberlead.front import Front
 from umberlead.limits import deal
-from umberlead.net.http import Clients, Listener
+from umberlead.net.client_connections import Clients
+from umberlead.net.listener import Listener
 from umberlead.shared import Shared
 
 
@@ -73,13 +74,13 @@
     async def _close(self, fault: int = 0) -> None:
         loop = asyncio.get_running_loop()
         clients = Clients(9, lambda: T0, Counters(), 0, 0, print)
-        handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
         handler.request = lambda conn, _: conn.reply(200, (), b"x")
-        old = Listener(handler, clients, ("127.0.0.1", 0), loop, share=True)
-        old.hurry()
+        old = Listener(handler, clients, ("127.0.0.1", 0), loop, reuse_port=True)
+        old.accept_without_delay()
         came = [socket.create_connection(old.address) for _ in range(3)]
-        clients.leaving = True
-        new = Listener(handler, clients, old.address, loop, share=True)
+        clients.close_after_reply = True
+        new = Listener(handler, clients, old.address, loop, reuse_port=True)
         if fault:
             real = old.socket
             faults = [OSError(fault, "")]
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -15,7 +15,9 @@
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
 from umberlead.net.attempts import OLD, PAUSE, SLOW, STILL, NodeConnection, Outgoing
-from umberlead.net.http import UNREAD, Clients, ServerConnection
+from umberlead.net.client_connections import Clients
+from umberlead.net.server_connection import ServerConnection
+from umberlead.net.timeouts import WRITE_STALL_TIMEOUT_US
 
 BODY = b"x" * 70_000
 
@@ -26,7 +28,7 @@
         self.wheel = Wheel(lambda: self.now, lambda delay, fn: mock.Mock(), 1000)
         self.counters = Counters()
         self.clients = Clients(9, lambda: self.now, self.counters, 0, 1 << 20, print)
-        handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
         self.client = ServerConnection(handler, self.clients)
         self.client.connection_made(self._transport())
         self.client.data_received(b"GET /a HTTP/1.1\r\n\r\n")
@@ -104,7 +106,7 @@
         self.node.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n" + BODY)
         self.client.pause_writing()
         self.clients.sweep()
-        self.now += UNREAD
+        self.now += WRITE_STALL_TIMEOUT_US
         self.clients.sweep()
         transport.abort.assert_called_once()
         self.client.resume_writing()
@@ -169,7 +171,7 @@
             case ["places", which, number]:
                 front = await self._start()
                 of: Any = front.pool if which == "nodes" else front.groups[0]
-                of.most = int(number)
+                setattr(of, "most" if which == "nodes" else "max_connections", int(number))
             case ["over"]:
                 front, self.front = await self._start(), None
                 front.end()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,7 +10,8 @@
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
 from umberlead.core.decide import KEPT, Head
-from umberlead.net.http import Clients, ServerConnection
+from umberlead.net.client_connections import Clients
+from umberlead.net.server_connection import ServerConnection
 
 
 class TestServiceDays(unittest.TestCase):
@@ -123,7 +124,7 @@
     def test_an_answer_that_is_not_read_counts_as_held_until_its_client_reads_or_goes(self) -> None:
         """Uncounted, clients that ask for large answers and read slowly take the process over its limit."""
         clients = Clients(9, lambda: T0, Counters(), 0, 300_000, print)
-        handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
         handler.request = lambda conn, _: conn.reply(200, (), b"x" * 200_000)
         conns = [ServerConnection(handler, clients) for _ in range(2)]
         for conn in conns:
@@ -131,22 +132,24 @@
             transport.get_write_buffer_size.return_value = 200_000
             transport.writelines.side_effect = lambda _, c=conn: c.pause_writing()
             conn.connection_made(transport)
-            self.assertTrue(clients.room(200_000))
+            self.assertTrue(clients.has_memory_for(200_000))
             conn.data_received(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
-            self.assertEqual((conn.served, len(conn.waiting), clients.room(200_000)), (1, 1, False))
-            conn.waiting.clear()
+            self.assertEqual(
+                (conn.served, len(conn.pipelined), clients.has_memory_for(200_000)), (1, 1, False)
+            )
+            conn.pipelined.clear()
             if conn is conns[0]:
                 conn.resume_writing()
             else:
                 conn.connection_lost(None)
-            self.assertEqual(clients.held, 0)
+            self.assertEqual(clients.held_bytes, 0)
 
 
 class TestPlaces(unittest.TestCase):
     def setUp(self) -> None:
         self.now = T0
         self.clients = Clients(8, lambda: self.now, Counters(), 0, 1 << 20, print)
-        self.handler = mock.Mock(body_most=0, dated=False, single=frozenset())
+        self.handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
         self.handler.request = lambda conn, _: conn.reply(200, (), b"x")
 
     def _connect(self) -> ServerConnection:
@@ -171,7 +174,7 @@
         self.assertEqual(sum(conn.evicted for conn in idle), 3)
         for conn in idle + conns:
             conn.connection_lost(None)
-        self.assertEqual((self.clients.going, len(self.clients.slots)), (0, 0))
+        self.assertEqual((self.clients.evicting, len(self.clients.slots)), (0, 0))
 
     def test_with_many_connections_the_first_answer_ends_its_own_until_the_front_stops(self) -> None:
         """Kept by clients that ask once, they filled what clients may hold for as long as idle ones stand."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -29,7 +29,7 @@
 from umberlead.front import Front
 from umberlead.fronts.control import figures
 from umberlead.fronts.platform import ask_of
-from umberlead.net.http import Message
+from umberlead.net.http_message import Message
 
 ROOT = Path(__file__).parent.parent
 SEGMENT = "-._~!$&'()*+,;=:@"  # beside letters and digits, what a path's segment holds as it is (RFC 3986)
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -21,8 +21,10 @@
 from umberlead.fronts.platform import PlatformFront
 from umberlead.limits import BODY_MOST, Reserve, deal, granted, held, to_come
 from umberlead.net.attempts import IDLE_PART, Pool
+from umberlead.net.client_connections import Clients
 from umberlead.net.discovery import Watch
-from umberlead.net.http import Clients, Handler, Listener
+from umberlead.net.listener import Listener
+from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
 from umberlead.shared import Shared
 from umberlead.telemetry import Syslog, logger
@@ -144,12 +146,14 @@
         self.pool.idle_time = int(conf.keepalive * IDLE_PART)
         self.engine.names_most, self.syslog.most = of.names, of.lines
         for group in self.groups:
-            group.most, group.idle = of.clients, conf.client_idle
-            group.memory, group.head_most = of.bodies // len(self.groups), of.head
+            group.max_connections, group.idle_timeout_us = of.clients, conf.client_idle
+            group.memory_limit_bytes, group.max_head_bytes = of.bodies // len(self.groups), of.head
         for _, group in self.doors:
-            group.most, group.memory, group.head_most = of.doors, BODY_MOST, of.head
+            group.max_connections, group.memory_limit_bytes = of.doors, BODY_MOST
+            group.max_head_bytes = of.head
         if conf.objects is not None:  # the operator's own cap holds below that
-            self.groups[-1].memory = min(self.groups[-1].memory, conf.objects.memory)
+            objects = self.groups[-1]
+            objects.memory_limit_bytes = min(objects.memory_limit_bytes, conf.objects.memory)
         for handler in self.handlers:
             handler.retry_after = self.conf.retry_after
 
@@ -245,7 +249,7 @@
         for handler, group, address in ready:
             self.listen(handler, group, address)
         dealt = {"descriptors": granted(conf.sockets), "nodes": self.pool.most}
-        dealt["clients"] = sum(group.most for group in self.groups)
+        dealt["clients"] = sum(group.max_connections for group in self.groups)
         self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, **dealt)
         self.sweep()
         self.wheel.after(REPORT, self.reports)
@@ -278,7 +282,7 @@
             clients.sweep()
         for server in [*self.servers, *(door for door, _ in self.doors)]:
             server.resume()
-        leaving = self.stopping or not any(s.open or s.coming for s in self.servers)
+        leaving = self.stopping or not any(s.is_open or s.accepting for s in self.servers)
         if leaving and not len(self.engine.tickets) and not any(len(c.slots) for c in self.groups):
             self.done.set()
         self.wheel.after(SWEEP, self.sweep)
@@ -316,9 +320,10 @@
         if self.servers:  # it has less of what the volumes may have from here on
             self.look()
         for server in self.servers:
-            server.hurry()
+            server.accept_without_delay()
         for clients in self.groups:
-            clients.leaving = self.processes > 1  # what is closed here comes back to the other process
+            # What is closed here comes back to the other process.
+            clients.close_after_reply = self.processes > 1
             clients.stopping = True
         longest = max(c.deadline for c in self.conf.settings.classes)
         kill = min(longest, KILL_MOST) + KILL_MORE
@@ -328,7 +333,7 @@
 
     def close(self) -> None:
         for server in self.servers:
-            if server.open:
+            if server.is_open:
                 self.counters.add("listeners_closed")
                 server.close()
 
--- a/umberlead/fronts/control.py
+++ b/umberlead/fronts/control.py
@@ -9,7 +9,8 @@
 from urllib.parse import quote, unquote
 
 from umberlead.core.engine import Engine, Kind
-from umberlead.net.http import Message, ServerConnection
+from umberlead.net.http_message import Message
+from umberlead.net.server_connection import ServerConnection
 
 COUNTED = ((Kind.SERVED, "ok"), (Kind.REFUSED, "shed"), (Kind.FAILED, "errors"))
 CHUNK_SERVERS = "/control/chunk-servers/"
@@ -36,10 +37,10 @@
 
 
 class ControlFront:
-    body_most = 1024
-    dated = False
-    single = frozenset[bytes]()
-    slow_bodies = False
+    max_body_bytes = 1024
+    sends_date = False
+    singleton_headers = frozenset[bytes]()
+    allows_slow_bodies = False
     retry_after = 0
 
     def __init__(
@@ -54,7 +55,7 @@
         self.rooms: Any = None  # where rooms are decided by
 
     def request(self, conn: ServerConnection, message: Message) -> None:
-        conn.closing = True
+        conn.close_after_reply = True
         status, body = self._call(message.method, message.split()[0].decode("latin-1"))
         conn.reply(status, (b"Content-Type: text/plain; charset=utf-8",), body)
 
@@ -106,8 +107,8 @@
             return 500, f"{fault}\n".encode()
         return 200, b"offline\n" if out else b"online\n"
 
-    def gone(self, conn: ServerConnection) -> None:
+    def client_disconnected(self, conn: ServerConnection) -> None:
         """Every call is answered as it comes."""
 
-    def bad(self, conn: ServerConnection, status: int, why: str) -> None:
-        conn.reply(status, (), f"{why}\n".encode())
+    def reject(self, conn: ServerConnection, status: int, reason: str) -> None:
+        conn.reply(status, (), f"{reason}\n".encode())
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -22,7 +22,9 @@
 from umberlead.fronts.s3 import S3Error
 from umberlead.limits import BODY_MOST
 from umberlead.net.attempts import Outgoing
-from umberlead.net.http import Clients, Message, ServerConnection
+from umberlead.net.client_connections import Clients
+from umberlead.net.http_message import Message
+from umberlead.net.server_connection import ServerConnection
 
 KEY_MOST = 1024  # bytes
 META_MOST = 2048  # bytes of a client's own x-amz-meta- headers
@@ -108,22 +110,22 @@
     """Memory taken from the listener's share while a block of code runs."""
 
     def __init__(self, clients: Clients, size: int, retry_after: int) -> None:
-        if clients.held + size > clients.memory:
+        if clients.held_bytes + size > clients.memory_limit_bytes:
             raise S3Error("SlowDown", "too much is being read at present", retry_after)
         self.clients, self.size = clients, size
-        clients.held += size
+        clients.held_bytes += size
 
     def __enter__(self) -> None:
         pass
 
     def __exit__(self, *_: object) -> None:
-        self.clients.held -= self.size
+        self.clients.held_bytes -= self.size
 
 
 class ObjectFront:
-    dated = True
-    single = frozenset((b"range", b"content-md5", b"x-budget", b"if-range", b"x-amz-copy-source"))
-    slow_bodies = True
+    sends_date = True
+    singleton_headers = frozenset((b"range", b"content-md5", b"x-budget", b"if-range", b"x-amz-copy-source"))
+    allows_slow_bodies = True
 
     def __init__(
         self,
@@ -136,7 +138,7 @@
     ) -> None:
         self.conf, self.engine, self.ledger, self.clients = conf, engine, ledger, clients
         self.retry_after, self.log = retry_after, log
-        self.body_most = conf.max_part
+        self.max_body_bytes = conf.max_part
         self.count = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.writes: dict[Any, Call] = {}  # by task: what must not be cut off in the middle
@@ -154,7 +156,7 @@
         task.add_done_callback(self.tasks.discard)
         conn.context = task
 
-    def gone(self, conn: ServerConnection) -> None:
+    def client_disconnected(self, conn: ServerConnection) -> None:
         """A read ends with its client. Of a write nothing more is begun; what is out runs on, so that the
         ledger knows how it ended."""
         task, conn.context = conn.context, None
@@ -166,10 +168,10 @@
         elif task is not None:
             task.cancel()
 
-    def bad(self, conn: ServerConnection, status: int, why: str) -> None:
+    def reject(self, conn: ServerConnection, status: int, reason: str) -> None:
         code = {400: "InvalidRequest", 408: "RequestTimeout", 413: "EntityTooLarge", 503: "SlowDown"}
-        fault = S3Error(code.get(status, "RequestHeaderSectionTooLarge"), why)
-        self._error(conn, conn.message or Message(), fault, "")
+        fault = S3Error(code.get(status, "RequestHeaderSectionTooLarge"), reason)
+        self._error(conn, conn.partial_request or Message(), fault, "")
 
     async def _serve(self, conn: ServerConnection, message: Message, request: str) -> None:
         conn.status = conn.length = 0
@@ -180,12 +182,12 @@
             await self._route(call)(call)
         except S3Error as fault:
             self.engine.counters.add(f"objects_error_{fault.code}")
-            if conn.open is message:
+            if conn.current is message:
                 self._error(conn, message, fault, request)
         except Exception as fault:
             self.engine.counters.add("objects_unexpected_errors")
             self.log.error("object_request_broke", why=repr(fault), target=message.target.decode("latin-1"))
-            if conn.open is message:
+            if conn.current is message:
                 self._error(conn, message, S3Error("InternalError", "the front failed"), request)
         finally:  # status 0: the client left first
             self.writes.pop(asyncio.current_task(), None)
@@ -298,7 +300,8 @@
         )
         until = min(give_up, self.engine.clock() + cls.deadline)
         ask = Ask(
-            op.class_name, call.plan, volume, block, shard, units, until, out, hosts, left=call.conn.has_left
+            op.class_name, call.plan, volume, block, shard, units, until, out, hosts,
+            left=call.conn.check_disconnected,
         )  # fmt: skip
         ticket: Ticket = self.engine.take(ask, lambda answer: settle(ended, answer))
         call.open.add(ticket)
@@ -607,7 +610,7 @@
                 conn.reply(status, headers, b"".join(first))
                 return
             call.give_up = 0  # from here on each window has its own time
-            conn.transport.writelines(conn.head(status, headers, length) + first)
+            conn.transport.writelines(conn.response_head(status, headers, length) + first)
             first.clear()
             try:
                 async for window in windows:
@@ -619,7 +622,7 @@
                 self.log.warning("object_read_broken_off", why=fault.message, request=call.id)
                 conn.transport.abort()
                 return
-            conn.finished()
+            conn.finish_response()
 
     async def _writable(self, conn: ServerConnection) -> bool:
         """False if the client left, or reads so slowly that it is left."""
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -8,7 +8,8 @@
 
 from umberlead.core.engine import Answer, Ask, Duplicate, Engine, Kind, Ticket
 from umberlead.net.attempts import LONG_MOST, Outgoing
-from umberlead.net.http import Message, ServerConnection
+from umberlead.net.http_message import Message
+from umberlead.net.server_connection import ServerConnection
 
 PASSED_ON = ((b"x-call-id", b"X-Call-Id: "), (b"x-plan", b"X-Plan: "), (b"x-io", b"X-IO: "))
 LONGER = 1.25  # most that a budget may be of its class's deadline, the longest that its clients wait
@@ -89,10 +90,10 @@
 class PlatformFront:
     """Translates, and decides nothing."""
 
-    body_most = LONG_MOST
-    dated = False  # the platform asks for no header
-    single = frozenset((b"x-call-id", b"x-plan", b"x-io", b"x-budget", b"x-again"))
-    slow_bodies = False
+    max_body_bytes = LONG_MOST
+    sends_date = False  # the platform asks for no header
+    singleton_headers = frozenset((b"x-call-id", b"x-plan", b"x-io", b"x-budget", b"x-again"))
+    allows_slow_bodies = False
 
     def __init__(self, engine: Engine, retry_after: int, margin: int) -> None:
         self.engine, self.margin = engine, margin
@@ -109,7 +110,7 @@
             self.engine.counters.add("bad_requests_400")
             conn.reply(400, (), f"{fault}\n".encode())
             return
-        conn.context, ask.left = None, conn.has_left
+        conn.context, ask.left = None, conn.check_disconnected
         try:
             ticket = self.engine.take(ask, lambda answer: self._answer(conn, message, answer))
         except Duplicate as fault:
@@ -119,7 +120,7 @@
             conn.context = ticket
 
     def _answer(self, conn: ServerConnection, message: Message, answer: Answer) -> None:
-        if conn.open is not message:
+        if conn.current is not message:
             return
         conn.context = None
         if answer.kind is Kind.SERVED and answer.reply is not None:
@@ -129,7 +130,7 @@
                     200, answer.reply.length, answer.reply.body, answer.reply.rest,
                     lambda whole: self._relayed(conn, relayed, whole),
                 )  # fmt: skip
-            if conn.clients.room(len(answer.reply.body)):
+            if conn.clients.has_memory_for(len(answer.reply.body)):
                 return conn.reply(200, (), answer.reply.body)
             self.engine.counters.add("answers_over_memory")
             conn.reply(502, (), b"failed; it may have taken effect\n")
@@ -147,16 +148,16 @@
         wait = math.ceil((retry_after or self.retry_after) / 1000) / 1000
         conn.reply(503, (b"Retry-After: %g" % wait,), f"refused: {reason or 'try later'}\n".encode())
 
-    def gone(self, conn: ServerConnection) -> None:
+    def client_disconnected(self, conn: ServerConnection) -> None:
         ticket, conn.context = conn.context, None
         if isinstance(ticket, Ticket):
             self.engine.gone(ticket)
         elif isinstance(ticket, Relayed):
             self.engine.relayed(ticket.class_name, None)
 
-    def bad(self, conn: ServerConnection, status: int, why: str) -> None:
+    def reject(self, conn: ServerConnection, status: int, reason: str) -> None:
         if status == 503:
-            self.engine.refused_unread(class_of(conn.turned_away, self.engine.classes))
-            self.refuse(conn, 0, why)
+            self.engine.refused_unread(class_of(conn.rejected_target, self.engine.classes))
+            self.refuse(conn, 0, reason)
         else:
-            conn.reply(status, (), f"{why}\n".encode())
+            conn.reply(status, (), f"{reason}\n".encode())
--- a/umberlead/limits.py
+++ b/umberlead/limits.py
@@ -21,7 +21,9 @@
 # names (2), and 2 to spare.
 MORE = 11
 NODES_LEAST = 2  # connections
-LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # our own, and it may pass
+LOCAL_RESOURCE_ERRNOS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)  # our own, and it may pass
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -21,7 +21,7 @@
 from umberlead.core.interface import Result
 from umberlead.core.slots import Slots
 from umberlead.core.wheel import Timer, Wheel
-from umberlead.limits import BODY_MOST, HEAD_MOST, LACK
+from umberlead.limits import BODY_MOST, HEAD_MOST, LOCAL_RESOURCE_ERRNOS
 
 IDLE_PART = 0.6  # of the keepalive: the chunk server may close at any time up to the whole of it
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
@@ -42,7 +42,7 @@
 LENGTH = re.compile(rb"[0-9]{1,15}")
 FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 FIELDS_MOST = 16  # values of a load report
-OURS = LACK | {errno.EADDRNOTAVAIL}
+OURS = LOCAL_RESOURCE_ERRNOS | {errno.EADDRNOTAVAIL}
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/umberlead/net/connection_state.py
@@ -0,0 +1,132 @@
+"""The state of a client's connection, and the questions that others ask of it."""
+
+import asyncio
+import select
+from collections import deque
+from typing import Any, cast
+
+from umberlead.net import timeouts
+from umberlead.net.client_connections import Clients
+from umberlead.net.http_message import Message, Rejection
+from umberlead.net.pending_input import PendingInput
+from umberlead.net.relay import BodySource
+from umberlead.net.request_parser import RequestParser
+from umberlead.net.socket_state import DISCONNECT_EVENTS, SocketState
+
+
+class ConnectionState:
+    """What is known of one connection. Nothing here ends it or writes to it; `ServerConnection` does.
+
+    Attributes:
+        slot: its number among the listener's connections; -1 before it has one.
+        current: the request that is being answered.
+        ended: nothing more is read or answered.
+        close_after_reply: it closes after the present reply.
+        served: how many requests were answered.
+        closed: its transport is closed.
+        client_disconnected: the client ended its sending, closed or reset, so nothing is owed.
+        evicted: it gave its place up.
+        write_blocked: a reply waits here for the client to read it.
+        state_since_us: when its present state began.
+        context: the handler's own.
+        rejected_target: the target of what was refused unread.
+        status: the HTTP status of the latest reply.
+        length: the body's length in the latest reply.
+        source: where the rest of a long reply comes from, while it is on its way.
+    """
+
+    _parser: RequestParser
+    _socket: SocketState
+
+    def __init__(self, clients: Clients) -> None:
+        """Begin before the connection is made, among `clients`."""
+        self.clients = clients
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.slot = -1
+        self.current: Message | None = None
+        self.ended = self.close_after_reply = False
+        self.served = 0
+        self.closed = self.evicted = self.client_disconnected = False
+        self.state_since_us = 0
+        self.context: Any = None
+        self.rejected_target = b""
+        self.status = self.length = 0
+        self.source: BodySource | None = None
+        self.write_blocked = False
+        self._pending = PendingInput(clients)
+        self._rejection: Rejection | None = None  # sent once what came before it is answered
+        self._unsent_bytes = self._unsent_since_us = 0  # at the latest look, and since when it is so
+
+    @property
+    def pipelined(self) -> deque[Message]:
+        """Whole requests that wait behind the present one."""
+        return self._pending.requests
+
+    @property
+    def partial_request(self) -> Message | None:
+        """The request that is being read."""
+        return self._parser.message
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether what comes is still read as requests."""
+        return not self.ended and self._rejection is None
+
+    def has_more_input(self) -> bool:
+        """Tell whether the client has sent, or begun to send, what is not its turn yet."""
+        return bool(self._pending or self._parser.message is not None or self._rejection is not None)
+
+    def write_stalled(self, now_us: int) -> bool:
+        """Tell whether the client has read nothing of what waits for it here or with the system for long.
+
+        One that takes minutes over a reply is served as long as it moves.
+        """
+        unsent_bytes = self._socket.unsent_bytes()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes, self._unsent_since_us = unsent_bytes, now_us
+        return self._unsent_since_us + timeouts.WRITE_STALL_TIMEOUT_US <= now_us
+
+    def is_idle(self) -> bool:
+        """Tell whether it has no request, and none is being read."""
+        busy = self.current is not None or self._parser.message is not None
+        return not (busy or self.pipelined or self.ended)
+
+    def is_evictable(self, before_us: int) -> bool:
+        """Tell whether no request of it is open, and it is in its state since `before_us` or ends anyway."""
+        if self.current is not None or self.pipelined or self.write_blocked:
+            return False
+        settled = self.ended or self.state_since_us <= before_us
+        slow = settled or timeouts.is_slow_upload(self._parser.progress, before_us)
+        return slow and not self.transport.is_closing()
+
+    def eviction_order(self) -> tuple[bool, bool, bool, int]:
+        """Return its place in the order of eviction, the smallest first.
+
+        One that is half read goes last: its end may be on the way, and then it is a request taken and lost.
+        """
+        return self._parser.message is not None, not self.ended, self.served > 0, self.state_since_us
+
+    def pending_events(self) -> int:
+        """Return the poll(2) events that were not taken yet."""
+        return self._socket.pending_events()
+
+    def has_unread_request(self) -> bool:
+        """Tell whether a request, or its begin, is here and not read yet: closed on, it would be lost."""
+        events = self.pending_events()
+        return bool(events & select.POLLIN) and not events & DISCONNECT_EVENTS
+
+    def reading_paused(self) -> bool:
+        """Tell whether nothing is read, so that a client that leaves goes unseen."""
+        open_ = not self.client_disconnected and not self.transport.is_closing()
+        return open_ and not self.transport.is_reading()
+
+    def timeout_us(self, idle_timeout_us: int) -> int:
+        """Return how long it may stay in its present state."""
+        return timeouts.connection_timeout_us(
+            answering=self.current is not None,
+            ended=self.ended,
+            progress=self._parser.progress,
+            used=self.served > 0,
+            state_since_us=self.state_since_us,
+            idle_timeout_us=idle_timeout_us,
+        )
--- /dev/null
+++ b/umberlead/net/pending_input.py
@@ -0,0 +1,62 @@
+"""What a client sent ahead of its turn: whole requests, and bytes that were read and not parsed."""
+
+from collections import deque
+
+from umberlead.net.client_connections import Clients
+from umberlead.net.http_message import Message
+
+
+class PendingInput:
+    """The requests and bytes of one connection that wait for its present reply, counted as held memory.
+
+    Attributes:
+        requests: whole requests, in the order they came.
+        unparsed_bytes: how many bytes wait behind them.
+    """
+
+    def __init__(self, clients: Clients) -> None:
+        """Begin empty, counting among `clients`."""
+        self._clients = clients
+        self.requests: deque[Message] = deque()
+        self._unparsed: deque[bytes] = deque()
+        self.unparsed_bytes = 0
+
+    def __bool__(self) -> bool:
+        """Whether anything waits."""
+        return bool(self.requests or self._unparsed)
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes wait that were not parsed."""
+        return bool(self._unparsed)
+
+    def put(self, data: bytes) -> None:
+        """Keep bytes as they were read."""
+        self._unparsed.append(data)
+        self.unparsed_bytes += len(data)
+        self._clients.held_bytes += len(data)
+
+    def take(self) -> bytes:
+        """Return the bytes of the oldest read: more at once could be too many requests."""
+        data = self._unparsed.popleft()
+        self.unparsed_bytes -= len(data)
+        self._clients.held_bytes -= len(data)
+        return data
+
+    def release(self, message: Message | None) -> None:
+        """Give back what the body of a request held."""
+        if message is not None:
+            self._clients.held_bytes -= len(message.body)
+            message.body = b""
+
+    def discard_unparsed(self) -> None:
+        """Drop the bytes."""
+        self._clients.held_bytes -= self.unparsed_bytes
+        self._unparsed.clear()
+        self.unparsed_bytes = 0
+
+    def discard(self) -> None:
+        """Drop all: each request gives its memory back, which a bare clear would leave counted."""
+        while self.requests:
+            self.release(self.requests.popleft())
+        self.discard_unparsed()
--- /dev/null
+++ b/umberlead/net/relay.py
@@ -0,0 +1,93 @@
+"""Passing a long reply on to a client as it comes from a chunk server."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from umberlead.net.http_message import Message
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time: the close is a reset
+
+
+class BodySource(Protocol):
+    """Where the rest of a long reply comes from."""
+
+    sink: Any
+
+    def hold(self, stop: bool) -> None:
+        """Stop reading, or read on."""
+
+    def abandon(self) -> None:
+        """End it: its reader has left."""
+
+    def overdue(self) -> Any:
+        """Return its place in the order of eviction, the smallest first; None keeps it."""
+
+    def give_way(self) -> None:
+        """End it for another's need of its place."""
+
+
+class StreamingConnection(Protocol):
+    """What a relay needs of the client's connection."""
+
+    transport: asyncio.Transport
+    closed: bool
+    length: int
+    source: BodySource | None
+
+    def finish_response(self) -> None:
+        """The reply is out: the next request's turn."""
+
+
+class Relay:
+    """A long reply on its way to one client: takes pieces from a `BodySource`, whose sink it is.
+
+    Without a length it goes in chunks, or up to the connection's end where the client knows no chunks.
+    """
+
+    def __init__(
+        self, connection: StreamingConnection, chunked: bool, on_end: Callable[[bool], None]
+    ) -> None:
+        """Relay to `connection`; `on_end` is told whether all is out, unless the client leaves."""
+        self._connection, self._chunked, self._on_end = connection, chunked, on_end
+
+    @staticmethod
+    def uses_chunks(length: int | None, request: Message | None) -> bool:
+        """Tell whether a reply to `request` goes in chunks."""
+        return length is None and request is not None and request.version == "1.1"
+
+    def encode(self, data: bytes) -> tuple[bytes, ...]:
+        """Frame a piece of the body as it goes to the client."""
+        if not data:
+            return ()
+        return (b"%x\r\n" % len(data), data, b"\r\n") if self._chunked else (data,)
+
+    def more(self, piece: bytes) -> None:
+        """Pass a piece of the body on."""
+        if not self._connection.closed:
+            self._connection.transport.writelines(self.encode(piece))
+
+    def whole(self) -> None:
+        """End the reply: all of the body has come."""
+        connection = self._connection
+        connection.source = None
+        self._on_end(True)
+        if self._chunked and not connection.closed:
+            connection.transport.write(b"0\r\n\r\n")
+        connection.finish_response()
+
+    def broke(self) -> None:
+        """Break the reply off, since its rest will not come.
+
+        The client sees it: the reply ends short of its length, or of its last chunk; where it would end with
+        its connection, that is reset.
+        """
+        connection, transport = self._connection, self._connection.transport
+        connection.source = None
+        self._on_end(False)
+        if not (self._chunked or connection.length or transport.is_closing()):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
--- /dev/null
+++ b/umberlead/net/socket_state.py
@@ -0,0 +1,42 @@
+"""What the operating system holds of a connection, asked for now: uvloop tells of it a turn later."""
+
+import asyncio
+import fcntl
+import select
+import sys
+import termios
+
+# The peer ended its sending, closed or reset the connection.
+DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class SocketState:
+    """Looks at the socket of one transport."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._poll: select.poll | None = None
+
+    def pending_events(self) -> int:
+        """Return the poll(2) events that were not taken yet: POLLIN for unread bytes, DISCONNECT_EVENTS.
+
+        0 on a transport that is closing or has no socket.
+        """
+        if self._poll is None:
+            sock = self._transport.get_extra_info("socket")
+            descriptor = sock.fileno() if sock is not None else -1
+            if not isinstance(descriptor, int) or descriptor < 0:
+                return 0
+            self._poll = select.poll()
+            self._poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+        if self._transport.is_closing():
+            return 0
+        return sum(events for _, events in self._poll.poll(0))
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait here or with the system for the peer to take them."""
+        unsent = self._transport.get_write_buffer_size()
+        if (sock := self._transport.get_extra_info("socket")) is not None:
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+            unsent += int.from_bytes(queued, sys.byteorder)
+        return unsent
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -11,7 +11,7 @@
 from typing import IO
 from urllib.parse import quote, unquote
 
-from umberlead.limits import LACK
+from umberlead.limits import LOCAL_RESOURCE_ERRNOS
 
 LEAVING = 0.25  # of another's part, for one that ends: its clients go over with their next answer
 
@@ -62,7 +62,7 @@
         try:
             return os.listdir(self.root / folder)
         except OSError as fault:
-            if fault.errno in LACK:
+            if fault.errno in LOCAL_RESOURCE_ERRNOS:
                 raise
             return []
 
@@ -76,7 +76,7 @@
                 except BlockingIOError:
                     return LEAVING if file.read(1) else 1.0
         except OSError as fault:
-            if fault.errno in LACK:
+            if fault.errno in LOCAL_RESOURCE_ERRNOS:
                 raise
         return 0.0
 
