Refuse what is half read as its connection's place goes, instead of closing without a word

At fault: net/http.py Clients.evict, which aborts its victim. A connection whose request is half read (a byte, half a head, a head, half a body) is among those it may take 100 ms after it was made, last of all: its client got the end of the connection and no answer, a request lost by the front's own doing. Ruled out: a piece that is here unread keeps its connection (`arriving`, tested now), as do the drain and single bytes.

Now it is refused with a whole 503 first.

--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -189,9 +189,9 @@
             if victim.arriving():
                 continue  # a request is here that was not read yet
             self.counters.add("clients_evicted")
-            victim.ended = victim.evicted = True
+            victim.evicted = True
             self.going += 1
-            victim.transport.abort()
+            victim.turn_out()
             return True
         late = [
             (rank, c.slot, c) for c in self.slots if c.source and (rank := c.source.overdue()) is not None
@@ -786,6 +786,13 @@
         else:
             self.close_if_idle()
 
+    def turn_out(self) -> None:
+        """Its place goes to another. What is half read is refused first: its end may be on the way."""
+        if self.message is not None and not self.ended:
+            self.refuse(503, "too many connections")
+        self.ended = True
+        self.transport.abort()
+
     def patience(self, idle: int) -> int:
         if self.open is not None:
             return 1 << 62
