--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -56,6 +56,9 @@
     def shut_down(self) -> None:
         """Refuse a request that is half read, or close it where it has none."""
 
+    def abort_evicted(self) -> None:
+        """End it for another's need of its place; a request that is half read is refused first."""
+
     def is_evictable(self, before_us: int) -> bool:
         """Tell whether it has no open request and is in its state since `before_us`."""
 
@@ -187,7 +190,7 @@
             if victim.has_unread_request():
                 continue
             self._mark_evicted(victim)
-            victim.transport.abort()
+            victim.abort_evicted()
             return True
         overdue = [
             (rank, conn.slot, conn, conn.source)
@@ -198,10 +201,11 @@
             return False
         _, _, victim, source = min(overdue)
         self._mark_evicted(victim)
+        victim.ended = True
         source.give_way()
         return True
 
     def _mark_evicted(self, victim: ClientConnection) -> None:
         self.counters.add("clients_evicted")
-        victim.ended = victim.evicted = True
+        victim.evicted = True
         self.evicting += 1
--- a/umberlead/net/request_parser.py
+++ b/umberlead/net/request_parser.py
@@ -50,6 +50,7 @@
     """Parses the requests of one connection, one after the other; bytes of bodies count as held memory."""
 
     def __init__(self, receiver: RequestReceiver, limits: RequestLimits, clients: Clients) -> None:
+        """Tell `receiver` of what is read, within the limits of a front and of its listener's clients."""
         self._receiver, self._limits, self._clients = receiver, limits, clients
         self._parser = httptools.HttpRequestParser(self)
         self.message: Message | None = None  # the request that is being read
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -338,6 +338,16 @@
         else:
             self.close_if_idle()
 
+    def abort_evicted(self) -> None:
+        """End it for another's need of its place.
+
+        A request that is half read is refused first: its end may be on the way.
+        """
+        if self._parser.message is not None and not self.ended:
+            self.refuse(503, "too many connections")
+        self.ended = True
+        self.transport.abort()
+
     def on_timeout(self) -> None:
         """End it: it stayed in its state for too long."""
         if self._parser.message is not None and not self.ended:
--- a/umberlead/net/socket_state.py
+++ b/umberlead/net/socket_state.py
@@ -14,6 +14,7 @@
     """Looks at the socket of one transport."""
 
     def __init__(self, transport: asyncio.Transport) -> None:
+        """Look at the socket of `transport`, if it has one."""
         self._transport = transport
         self._poll: select.poll | None = None
 
