--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 lint: $(DEV)/requirements.done
 	$(DEV)/bin/ruff check .
 	$(DEV)/bin/ruff format --check .
+	$(DEV)/bin/python -B -m pytest -q tests/test_lint_debt.py
 	$(DEV)/bin/mypy
 
 check: test lint
