Read what a watch has received before a reload or its silence leaves it

Seen with a test that lets a drain arrive on the open watch in the turn in which SIGHUP is taken, and in the turn in which a front that stood still looks for silence: signals and timers run before the loop reads. The stream was aborted with the drain unread. What discovery has written counts as told; where the new discovery says nothing for seconds, or the next call waits its turn, requests went to the draining server.

Ruled out: a change in the first list of the new discovery, dials and calls that hang after SIGHUP, a watch that falls silent in its first seconds or after 13 s, and whole lists on an open watch (as a line, indented, byte by byte; a server missing, draining, back): all held, and are tested now. At fault were Watch.move and Watch._check. Both read first what the system holds of the stream.

Both tests fail without the change.

--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -1,8 +1,10 @@
 """Discovery's watch: a stream of changes, reopened with back-off when it breaks or falls silent."""
 
 import asyncio
+import contextlib
 import json
 import re
+import socket
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -15,6 +17,7 @@
 
 STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"')
 LINE_MOST = 4 << 20
+READ_SIZE, READS_MOST = 64 << 10, 64  # bytes of one read ahead of the loop, and how many of them
 
 
 class _Stream(asyncio.Protocol):
@@ -52,6 +55,23 @@
             self.call.partial = partial
             self.watch.arm(self)
 
+    def read_ahead(self) -> None:
+        """Read what the system holds of it now. Timers and signals run before the loop reads: a change that
+        has arrived counts as told, so it must not go with a stream that is left or taken for silent."""
+        if self.dead or self.transport is None or self.transport.is_closing():
+            return
+        fd = self.transport.get_extra_info("socket").fileno()
+        same = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)  # not a descriptor more
+        try:
+            with contextlib.suppress(OSError):  # no more is here, or its end: the loop tells of that
+                for _ in range(READS_MOST):
+                    data = same.recv(READ_SIZE, socket.MSG_DONTWAIT)
+                    if not data or self.dead:
+                        break
+                    self.data_received(data)
+        finally:
+            same.detach()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"retry-after":
             try:
@@ -173,6 +193,10 @@
         if stream.dead or stream is self.late:
             return
         now = self.clock()
+        if now >= self.pacing.due(stream.call):
+            stream.read_ahead()
+            if stream.dead or stream is self.late:
+                return
         if now < self.pacing.due(stream.call):
             self.arm(stream)
         elif self.late is None and self.pacing.listens_on(stream.call, now):
@@ -240,6 +264,9 @@
         if address == self.address or self.closed:
             return
         self.counters.add("discovery_moves")
+        for stream in (self.stream, self.late):
+            if stream is not None:
+                stream.read_ahead()
         self.address, self.index = address, 0
         self.pacing.moved()
         self._leave()
