Take no reset that comes with the last bytes for the end of an answer of no told length

Seen with a chunk server that sends a head without a length and three bytes, and resets: the client got them as a whole 200. Where data and a reset are both there at one poll, libuv reads the data, finds the read partial and the socket hung up, and reports an end of its own; ECONNRESET is never read. NodeConnection.eof_received took that for the answer's end, of short and of long ones.

The end is now looked at with one more read: ECONNRESET counts as the reset it is, an orderly end reads as one. The test of a long answer and two of the matrix (every end of an attempt has a whole answer in time, 48 cases) fail without it.

--- /dev/null
+++ b/tests/test_standing_requests.py
@@ -0,0 +1,201 @@
+"""Requests in pieces and in all their forms, many on a connection, and an answer in time whatever becomes of
+their attempts: what the renewed standing test asks, on a clock that moves by hand alone."""
+
+import socket
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from tests.test_client_leaves import DONE, asks, block
+from tests.test_crossings import well
+from tests.test_standing import Standing, play
+from umberlead.net.attempts import NodeConnection
+
+# Requests in pieces
+
+FORMS = [
+    "| PUT /write?block={0} HTTP/1.1\n| Host: service.internal\n& ask {1} / 0\n| Content-Length: 5\n|\n"
+    "= body{2}\n",
+    "| PUT /write?block={0} HTTP/1.1\n| x-io:volume=b4,units=1,shard=0\t\n| X-PLAN:  gold\t \n"
+    "| x-call-id:\t{1}\n| CONTENT-LENGTH:\t 5 \n| connection: Keep-Alive\n|\n= body{2}\n",
+    "| PUT http://service.internal/write?block={0} HTTP/1.1\n& ask {1} / 0\n| X-Budget: 9\n"
+    '| transfer-encoding:\tChunked\n|\n| 2;a="b;c"\n| bo\n| 0003;x\n| dy{2}\n| 000\n| X-Trailer: t\n|\n',
+    "|\n| PUT HTTP://service.internal/write?block={0} HTTP/1.1\n& ask {1} / 0\n"
+    "| Transfer-Encoding: chunked\n|\n| 00000005\n| body{2}\n| 0\n|\n",
+    "| PUT /write?x=%20&block={0}&y HTTP/1.1\n& ask {1} / 0\n| content-length:5\n| X-Empty:\n"
+    "| X-Budget: 9.500000\n|\n= body{2}\n",
+]
+SERIES = "".join(FORMS[n % 5].format(block(n), f"a{n}", n) for n in range(8))
+STORED = "n0 stored\n" + "".join(f"= body{n}\n" for n in range(8))
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 150, 230])
+def test_requests_in_pieces_of_any_size_are_served_in_their_order(size: int) -> None:
+    """Byte by byte, and with the end of one and the begin of the next in one piece."""
+    play(
+        "node n0 0\nclient a platform\n",
+        f"a pieces {size} 0\n",
+        SERIES,
+        8 * DONE.format("a"),
+        STORED,
+        "counter requests_taken 8\n",
+    )
+
+
+def test_slow_writers_are_served() -> None:
+    """Two requests of a client that writes for over 2 s at each."""
+    one = "| PUT /write?block={0} HTTP/1.1\n& ask {1} / 0\n| X-Budget: 3\n| Content-Length: 5\n|\n= 12345\n"
+    play(
+        "node n0 0\nclient a platform\n",
+        *(f"a pieces 4 60000\n{one.format(block(n), f'a{n}')}{DONE.format('a')}" for n in (1, 2)),
+        "counter bad_requests_408 0\nwrites n0 PUT 2\n",
+    )
+
+
+def test_a_further_attempt_tells_no_more_than_is_left() -> None:
+    def asked(budget: str) -> str:
+        return f"n0 <\n| GET {{target}} HTTP/1.1\n| Host: {{~}}\n& ask a1 / 0\n| X-Budget: {budget}{{~}}\n|\n"
+
+    full = "n0 >\n| HTTP/1.1 503 -\n| X-Rejected: 1\n| Content-Length: 0\n|\n"
+    play(
+        "patch umberlead.net.attempts REST 0\nnode n0 0:script\nclient a platform\n",
+        "a >\n| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n& ask a1 / 0\n| X-Budget: 6\n|\n",
+        asked("5.9"),
+        "clock 1500000\n",
+        full,
+        "until attempts_full 1\ndials hold\nclock 600000\nclock 10000\n",
+        "until attempts_sent 2\nclock 100000\ndials go\n",
+        asked("3.7"),
+        "n0 >\n& x\na <\n& x\n",
+    )
+
+
+# An answer in time
+
+ENDS = {
+    "silence": ("", "stays"),
+    "closed": ("", "finishes"),
+    "reset": ("", "resets"),
+    "noise": ("= noise\n", "stays"),
+    "half a line": ("= HTTP/1.1 2\n", "stays"),
+    "half a line, reset": ("= HTTP/1.1 2\n", "resets"),
+    "half a head": ("| HTTP/1.1 200 OK\n= Conte\n", "stays"),
+    "half a head, closed": ("| HTTP/1.1 200 OK\n= Conte\n", "finishes"),
+    "too short": ("| HTTP/1.1 200 OK\n| Content-Length: 9\n|\n= who\n", "stays"),
+    "too short, closed": ("| HTTP/1.1 200 OK\n| Content-Length: 9\n|\n= who\n", "finishes"),
+    "too short, reset": ("| HTTP/1.1 200 OK\n| Content-Length: 9\n|\n= who\n", "resets"),
+    "no length": ("| HTTP/1.1 200 OK\n|\n= whole\n", "stays"),
+    "no length, closed": ("| HTTP/1.1 200 OK\n|\n= whole\n", "finishes"),
+    "no length, reset": ("| HTTP/1.1 200 OK\n|\n= who\n", "resets"),
+    "chunks without end": ("| HTTP/1.1 200 OK\n| Transfer-Encoding: chunked\n|\n| 3\n| who\n", "stays"),
+    "chunks, reset": ("| HTTP/1.1 200 OK\n| Transfer-Encoding: chunked\n|\n| 3\n| who\n", "resets"),
+    "interim": ("| HTTP/1.1 103 Early Hints\n|\n", "stays"),
+    "error": ("| HTTP/1.1 500 -\n| Content-Length: 0\n|\n", "stays"),
+    "full": ("| HTTP/1.1 503 -\n| X-Rejected: 1\n| Content-Length: 0\n|\n", "stays"),
+    "astray": ("| HTTP/1.1 504 -\n| X-Rejected: 1\n| Content-Length: 0\n|\n", "stays"),
+    "gone": ("| HTTP/1.1 404 -\n| Content-Length: 0\n|\n", "finishes"),
+    "two": (
+        "| HTTP/1.1 200 OK\n| Content-Length: 5\n|\n= whole\n"
+        "| HTTP/1.1 200 OK\n| Content-Length: 5\n|\n= other\n",
+        "stays",
+    ),
+}
+
+
+@pytest.mark.parametrize("call", ["GET /read", "PUT /write"])
+@pytest.mark.parametrize("how", [*ENDS, "refused", "not up"])
+def test_whatever_its_attempts_end_with_a_request_has_a_whole_answer_in_time(how: str, call: str) -> None:
+    """Half a second past its time at the latest; a reset is no end of an answer that tells no length."""
+    node = "node n0 0:down\n" if how == "refused" else "node n0 0:script\n"
+    if how in ENDS:
+        node += f"n0 cans {ENDS[how][1]}\n{ENDS[how][0]}"
+    play(
+        node,
+        "client a platform\n",
+        "dials hold\n" if how == "not up" else "",
+        f"a >\n| {call}?block=7f3a9c21e0b4d655 HTTP/1.1\n& ask a1 / 0\n| X-Budget: 1\n|\n",
+        "a answered 1500000\ncounter answered_for_module 0\n",
+    )
+
+
+def test_a_reset_with_the_last_bytes_of_a_long_answer_is_no_end() -> None:
+    """libuv reports an end where both are there at once, and the answer passed for whole."""
+    play(
+        "node n0 0:script\nclient a platform\na >\n& read a1 / 0\nn0 <\n& got a1 / 0\n",
+        "n0 >\n| HTTP/1.1 200 OK\n|\n@ 0 70000\n",
+        "a has 70000\nn0 resets\n@ 70000 70010\na cut\ncounter node_answers_broke_off 1\n",
+    )
+
+
+# Bytes in the moment of a close
+
+
+def test_half_a_line_on_a_kept_connection_keeps_the_next_request_from_it() -> None:
+    """It arrives in the very turn in which the connection is to be used again."""
+
+    class Crossing(Standing):
+        async def _step(self, words: list[str], lines: list[str]) -> None:
+            if words != ["half", "line"]:
+                return await super()._step(words, lines)
+            front, peer = await self._start(), await self.nodes["n0"].peer()
+            kept = front.pool._kept
+
+            def crossed(*how: Any) -> NodeConnection | None:
+                peer.transport.write(b"HTTP/1.1 2")
+                return kept(*how)
+
+            self.patches.enter_context(mock.patch.object(front.pool, "_kept", crossed))
+
+    Crossing(
+        "node n0 0:script\nclient a platform\na >\n& read a1 / 0\nn0 <\n& got a1 / 0\nn0 >\n& x\na <\n& x\n"
+        "clock 10000\nhalf line\na >\n& read a2 / 0\nn0 fresh\nn0 <\n& got a2 / 0\nn0 >\n& x\na <\n& x\n"
+        "counter node_connections_opened 2\ncounter attempts_ok 2\ncounter attempts_sent 2\n"
+    ).play()
+
+
+def test_no_connection_holds_small_writes_back() -> None:
+    """A close over unread bytes would take them along."""
+
+    class Looks(Standing):
+        async def _step(self, words: list[str], lines: list[str]) -> None:
+            if words != ["undelayed"]:
+                return await super()._step(words, lines)
+            front = await self._start()
+            assert front.watch is not None and front.watch.stream is not None
+            links: list[Any] = [front.watch.stream, *front.pool.slots, *front.groups[0].slots]
+            assert len(links) == 3
+            for link in links:
+                sock = link.transport.get_extra_info("socket")
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1, link
+
+    Looks(
+        "discovery\nnode n0 0\nclient a platform\n"
+        + asks("a", 1)
+        + DONE.format("a")
+        + "discovery <\n| GET {target} HTTP/1.1\n| Host: {~}\n|\nundelayed\n"
+    ).play()
+
+
+@pytest.mark.parametrize("way", ["close", "reset"])
+def test_bad_clients_that_send_much_at_once_and_go_leave_nothing_behind(way: str) -> None:
+    """Whole requests, half ones and noise, 60 KB each; nothing of theirs is begun once they left."""
+    crowd, sent = [f"c{n}" for n in range(20)], ""
+    for n, name in enumerate(crowd):
+        whole = "".join(f"& block {name}x{k} / PUT /write / {block(100 + k)} / 1\n" for k in range(30))
+        sent += f"plain {name} platform\n{name} >\n{whole}" + (
+            "| noise\n" if n % 2 else f"| X: {'p' * 50_000}\n"
+        )
+    play(
+        "node n0 0\nclient a platform\nn0 next hold\n",
+        asks("a", 1, 6),
+        "until attempts_written 1\ndials hold\n",
+        sent,
+        "client b platform\n",
+        well("b"),
+        *(f"{name} {way}\n" for name in crowd),
+        "clock 110000\ndials go\nn0 release 1\n",
+        DONE.format("a"),
+        well("b"),
+        "clean\nn0 ran PUT 1\n",
+    )
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -202,12 +202,29 @@
             self.timer = self.pool.wheel.after(self.pool.link_timeout, self._stalled)
 
     def eof_received(self) -> bool:
+        if not self.framed and self._was_reset():
+            return False  # `connection_lost` follows: what came breaks off, or counts as a reset
         if self.sink is not None and not self.framed:
             self._passed(False)
         if self.attempt is not None and self.why is None and self.head_done and not self.framed:
             self._answered(keep=False)  # an answer may end with its connection
         return False
 
+    def _was_reset(self) -> bool:
+        """libuv reports an end where a reset came with the last bytes: the next read tells which it is."""
+        assert self.transport is not None
+        fd = self.transport.get_extra_info("socket").fileno()
+        same = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)  # not a descriptor more
+        try:
+            same.recv(1, socket.MSG_DONTWAIT)
+        except ConnectionResetError:
+            return True
+        except OSError:
+            pass
+        finally:
+            same.detach()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.over:
             return
