Answer all commands that a client sends at once, up to 256 of one read

Seen with 100 requests in one write: nine were answered, then came a 400 and the end of the connection, and 91 that had been taken whole were lost. At fault is WAITING_MOST, which bounded the whole requests of one read to 8. Requests of later reads are not parsed until those have gone, and memory for them is counted, so the bound only has to hold what one read can bring: 256 of the protocol's are over 32 kB.

The test fails without the change.

--- a/tests/test_standing_requests.py
+++ b/tests/test_standing_requests.py
@@ -53,6 +53,12 @@
     )
 
 
+def test_many_commands_sent_at_once_are_all_answered() -> None:
+    """All in one read: those beyond the eighth were dropped with a 400."""
+    many = "a >\n" + "".join(asks("a", n).partition("\n")[2] for n in range(100))
+    play("node n0 0\nclient a platform\n", many, 100 * DONE.format("a"), "writes n0 PUT 100\n")
+
+
 def test_a_further_attempt_tells_no_more_than_is_left() -> None:
     def asked(budget: str) -> str:
         return f"n0 <\n| GET {{target}} HTTP/1.1\n| Host: {{~}}\n& ask a1 / 0\n| X-Budget: {budget}{{~}}\n|\n"
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -21,7 +21,7 @@
 from umberlead.core.slots import Slots
 from umberlead.limits import HEAD_MOST, LACK, surplus
 
-WAITING_MOST = 8  # whole requests that a client may send ahead of their answers
+WAITING_MOST = 256  # whole requests that may wait, all of one read: later reads are parsed in their turn
 UNREAD = 30_000_000  # us an answer may stand in our memory without the client reading on
 LINGER = 300_000  # us a connection stays after an answer that ends it, so that the answer arrives
 REQUEST_TIME = 2_500_000  # us a client may take over a request, from its connecting or the request's begin
@@ -437,7 +437,7 @@
         if self._feeding:
             return
         while self._ahead and not (self.waiting or self.ended or self.lost or self._bad is not None):
-            data = self._ahead.popleft()  # as it was read: more at once could be too many requests
+            data = self._ahead.popleft()  # as it was read: more at once could be too many
             self._ahead_size -= len(data)
             self.clients.held -= len(data)
             self._feed(data)
