Count the time of a request that came ahead from when it was read

Seen with three requests on one connection, each with 5 s: the third, read while the second waited, was parsed once that had its turn 3 s later, and told its chunk server 4 s where its client had 2 left. It would have been answered past its time. At fault was Message.received, which took the time of parsing. What is read ahead now keeps the time of its read.

The test fails without the change. A further attempt told what was left before, which is tested now too.

--- a/tests/test_standing_requests.py
+++ b/tests/test_standing_requests.py
@@ -1,6 +1,7 @@
 """Requests in pieces and in all their forms, many on a connection, and an answer in time whatever becomes of
 their attempts: what the renewed standing test asks, on a clock that moves by hand alone."""
 
+import re
 import socket
 from typing import Any
 from unittest import mock
@@ -59,6 +60,28 @@
     play("node n0 0\nclient a platform\n", many, 100 * DONE.format("a"), "writes n0 PUT 100\n")
 
 
+def test_the_time_of_one_that_waits_behind_others_runs_from_its_last_byte() -> None:
+    """The third was read and not parsed, so its time began with its turn."""
+    ask = "a >\n" + "| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n& ask a{0} / 0\n| X-Budget: 5\n|\n"
+    answer = "n0 >\n& x\na <\n& x\n"
+    got = "n0 <\n" + re.sub(r"X-Budget: 5", "X-Budget: {1}{{~}}", ask.partition("\n")[2])
+    got = got.replace(
+        "| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n", "| GET {{target}} HTTP/1.1\n| Host: {{~}}\n"
+    )
+    play(
+        "patch umberlead.net.attempts REST 0\nnode n0 0:script\nclient a platform\nclient b platform\n",
+        *(ask.format(n) + well("b") for n in (1, 2, 3)),
+        got.format(1, "4.9"),
+        "clock 2000000\n",
+        answer,
+        got.format(2, "2.9"),
+        "clock 1000000\n",
+        answer,
+        got.format(3, "1.9"),
+        answer,
+    )
+
+
 def test_a_further_attempt_tells_no_more_than_is_left() -> None:
     def asked(budget: str) -> str:
         return f"n0 <\n| GET {{target}} HTTP/1.1\n| Host: {{~}}\n& ask a1 / 0\n| X-Budget: {budget}{{~}}\n|\n"
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -337,7 +337,9 @@
         self.served = 0  # requests answered
         self.lost = self.evicted = False
         self.left = False  # the client ended its sending, closed or reset: nothing is owed
-        self._ahead, self._ahead_size = deque[bytes](), 0  # read, not parsed: it came before its turn
+        # Read, not parsed: it came before its turn, at that time.
+        self._ahead, self._ahead_size = deque[tuple[bytes, int]](), 0
+        self._came = 0  # when what is being parsed was read
         self._feeding = False
         self._bad: tuple[int, str, bytes] | None = None  # told once what came before it is answered
         self._poll: select.poll | None = None
@@ -405,7 +407,7 @@
             return
         if self.waiting or self._ahead:
             # Read on, or a client that leaves goes unseen; past a head's size `sweep` looks for that.
-            self._ahead.append(data)
+            self._ahead.append((data, self.clients.clock()))
             self._ahead_size += len(data)
             self.clients.held += len(data)
             if self.clients.held > self.clients.memory:
@@ -415,6 +417,7 @@
             elif self._ahead_size > self.clients.head_most:
                 self.transport.pause_reading()
             return
+        self._came = self.clients.clock()
         self._feed(data)
 
     def _feed(self, data: bytes) -> None:
@@ -437,7 +440,7 @@
         if self._feeding:
             return
         while self._ahead and not (self.waiting or self.ended or self.lost or self._bad is not None):
-            data = self._ahead.popleft()  # as it was read: more at once could be too many
+            data, self._came = self._ahead.popleft()  # as it was read: more at once could be too many
             self._ahead_size -= len(data)
             self.clients.held -= len(data)
             self._feed(data)
@@ -565,7 +568,7 @@
         message.body = self._body
         message.version = self.parser.get_http_version()
         message.keep_alive = self.parser.should_keep_alive()
-        message.received = self.clients.clock()
+        message.received = self._came  # its time runs from its last byte, not from its turn
         self._body = b""
         self.waiting.append(message)
         if len(self.waiting) > WAITING_MOST:
