Test a take-over from a process killed behind an accept, and a fleet's dials at a join

The old process is stopped, accepts five requests with the system alone, and is killed beside the new one: its clients see the end, come again and are served, and the new process counts itself alone. 24 engines and pools over eight servers that join open no connection before a request, one for each request of the first burst and none for the next two.

--- /dev/null
+++ b/tests/test_standing_fleet.py
@@ -0,0 +1,147 @@
+"""Processes that are killed behind an accept, and what a whole fleet opens when chunk servers join: what the
+renewed standing test asks of several processes."""
+
+import asyncio
+import os
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.helpers import T0, settings, up
+from tests.test_attempts import Dials, Wire
+from tests.test_descriptors import ENTRY, TEXT, Process, Servers, _read, _run, _served
+from umberlead.core.counters import Counters
+from umberlead.core.engine import Ask, Engine
+from umberlead.core.interface import NodeList
+from umberlead.core.wheel import Wheel
+from umberlead.net.attempts import Outgoing, Pool
+
+FRONTS = 24
+
+
+def test_a_process_that_takes_over_from_a_killed_one_serves_what_comes_again(tmp_path: Path) -> None:
+    """The old one is killed behind the system's accept, with requests unread, the new one beside it: its
+    clients see their connections end, come again, and the new process has the front's whole part."""
+
+    async def test() -> None:
+        servers, loop = Servers(), asyncio.get_running_loop()
+        async with servers.listen() as (node, _):
+            text = TEXT.format(sockets=128, discovery="", endpoints=ENTRY % (0, node))
+            (tmp_path / "old").mkdir()
+            old = Process(tmp_path / "old", text, 128)
+            new = None
+            try:
+                await old.until("limits")
+                address = old.address("listening")
+                await _served(address, *_read("before"))
+                os.kill(old.of.pid, signal.SIGSTOP)  # from here on the system alone accepts
+                clients = [socket.create_connection(address) for _ in range(5)]
+                for n, sock in enumerate(clients):
+                    sock.setblocking(False)
+                    line, *headers = _read(f"crossing{n}")
+                    text_ = "\r\n".join([f"{line} HTTP/1.1", *headers, "", ""])
+                    await loop.sock_sendall(sock, text_.encode())
+                (tmp_path / "new").mkdir()
+                text = text.replace('"127.0.0.1:0"', f'"127.0.0.1:{address[1]}"', 1)
+                new = Process(tmp_path / "new", text, 128)
+                await new.until("limits")
+                assert [row["now"] for row in new.told("processes")] == ["2"]
+                old.of.kill()
+                for sock in clients:
+                    with pytest.raises(ConnectionResetError):
+                        assert not await asyncio.wait_for(loop.sock_recv(sock, 1000), 5)
+                        raise ConnectionResetError
+                    sock.close()
+                for n in range(5):
+                    await _served(address, *_read(f"crossing{n}"))
+                await new.until("processes", 2)
+                assert [row["now"] for row in new.told("processes")] == ["2", "1"]
+            finally:
+                for each in (old, new):
+                    if each is not None:
+                        each.of.kill()
+                        each.of.wait()
+
+    _run(test())
+
+
+class Fleet:
+    """Fronts' engines and pools over dials that wait, on one clock that moves by hand."""
+
+    def __init__(self) -> None:
+        self.dials = Dials(False)
+        self.fronts: list[tuple[Engine, Pool]] = []
+        self.answers: list[Any] = []
+        self.soon: list[Any] = []
+        now = lambda: self.dials.now  # noqa: E731
+        for number in range(FRONTS):
+            wheel, counters = Wheel(now, self.dials.alarm, 2000), Counters()
+            of = settings(heads=FRONTS, max_attempts=3)
+            engine = Engine(of, number, now, wheel, self.soon.append, counters, print)
+            loop: Any = self.dials
+            pool = Pool(engine, loop, wheel, now, counters, 100, 250_000, 15_000_000, "s", print)
+            engine.carrier, pool.takes_new = pool, engine.takes_new
+            self.fronts.append((engine, pool))
+
+    async def turns(self) -> None:
+        for _ in range(5):
+            while self.soon:
+                self.soon.pop(0)()
+            await asyncio.sleep(0)
+
+    def listed(self, names: list[str]) -> None:
+        for engine, pool in self.fronts:
+            pool.addresses |= {name: (name, 1) for name in names}
+            engine.listed(NodeList(False, tuple(up(name) for name in names)))
+
+    def ask(self, engine: Engine, name: str) -> None:
+        payload = Outgoing(b"GET", b"/read", [])
+        engine.take(
+            Ask("read", "gold", "v", None, 0, 2.0, self.dials.now + 2_000_000, payload, name=name.encode()),
+            self.answers.append,
+        )
+
+    def up(self) -> int:
+        """Connections that wait come up, and what is written on them is answered; how many there were."""
+        made = 0
+        for conn in self.dials.conns:
+            if conn.transport is None and not conn.closed:
+                made, conn.quiet = made + 1, lambda: True
+                conn.connection_made(Wire())
+        return made
+
+    def answer(self) -> None:
+        for conn in self.dials.conns:
+            if conn.attempt is not None and conn.written:
+                conn.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+
+
+def test_servers_that_join_are_neither_probed_nor_dialled_ahead_by_any_front() -> None:
+    """Over the whole fleet a join costs one connection for each request that finds none, and the next burst
+    none: what each front does alone adds up."""
+
+    async def test() -> None:
+        fleet = Fleet()
+        fleet.listed([f"n{k}" for k in range(8)])
+        await fleet.turns()
+        fleet.dials.until(fleet.dials.now + 3_000_000)
+        await fleet.turns()
+        assert fleet.dials.now > T0 and not fleet.dials.conns
+        for wave in range(3):
+            for number, (engine, _) in enumerate(fleet.fronts):
+                fleet.ask(engine, f"w{wave}f{number}")
+            await fleet.turns()
+            assert fleet.up() == (FRONTS if wave == 0 else 0)
+            fleet.answer()
+            await fleet.turns()
+            assert len(fleet.answers) == FRONTS * (wave + 1)
+            fleet.dials.until(fleet.dials.now + 100_000)
+            await fleet.turns()
+        assert len(fleet.dials.conns) == FRONTS
+        for _, pool in fleet.fronts:
+            pool.close()
+
+    asyncio.run(test())
