--- a/umberlead/net/pending_input.py
+++ b/umberlead/net/pending_input.py
@@ -18,7 +18,7 @@
         """Begin empty, counting among `clients`."""
         self._clients = clients
         self.requests: deque[Message] = deque()
-        self._unparsed: deque[bytes] = deque()
+        self._unparsed: deque[tuple[bytes, int]] = deque()  # and when they were read
         self.unparsed_bytes = 0
 
     def __bool__(self) -> bool:
@@ -30,18 +30,18 @@
         """Whether bytes wait that were not parsed."""
         return bool(self._unparsed)
 
-    def put(self, data: bytes) -> None:
-        """Keep bytes as they were read."""
-        self._unparsed.append(data)
+    def put(self, data: bytes, received_us: int) -> None:
+        """Keep bytes as they were read, at that time."""
+        self._unparsed.append((data, received_us))
         self.unparsed_bytes += len(data)
         self._clients.held_bytes += len(data)
 
-    def take(self) -> bytes:
-        """Return the bytes of the oldest read: more at once could be too many requests."""
-        data = self._unparsed.popleft()
+    def take(self) -> tuple[bytes, int]:
+        """Return the bytes of the oldest read, and its time: more at once could be too many requests."""
+        data, received_us = self._unparsed.popleft()
         self.unparsed_bytes -= len(data)
         self._clients.held_bytes -= len(data)
-        return data
+        return data, received_us
 
     def release(self, message: Message | None) -> None:
         """Give back what the body of a request held."""
--- a/umberlead/net/request_parser.py
+++ b/umberlead/net/request_parser.py
@@ -59,7 +59,7 @@
         self._in_head = False
         self._repeated_header = b""  # a field that came again and must not
         self._body: bytes | bytearray = b""
-        self._body_since_us = 0
+        self._body_since_us = self._received_us = 0
 
     @property
     def progress(self) -> RequestProgress | None:
@@ -68,8 +68,9 @@
             return None
         return RequestProgress(not self._in_head, self._body_since_us, self._body_bytes)
 
-    def feed(self, data: bytes) -> None:
-        """Parse bytes; what they hold is told to the receiver within this call."""
+    def feed(self, data: bytes, received_us: int) -> None:
+        """Parse bytes that were read at that time; the receiver is told what they hold within this call."""
+        self._received_us = received_us
         if self._in_head or self.message is None:
             self._head_bytes += len(data)
         self.feeding = True
@@ -190,6 +191,6 @@
         message.body = self._body
         message.version = self._parser.get_http_version()
         message.keep_alive = self._parser.should_keep_alive()
-        message.received = self._clients.clock()
+        message.received = self._received_us  # its time runs from its last byte, not from its turn
         self._body = b""
         self._receiver.request_complete(message)
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -11,7 +11,7 @@
 from umberlead.net.request_parser import RequestParser
 from umberlead.net.socket_state import DISCONNECT_EVENTS, SocketState
 
-MAX_PIPELINED_REQUESTS = 8  # whole requests that a client may send ahead of their replies
+MAX_PIPELINED_REQUESTS = 256  # whole requests that may wait, all of one read: later reads wait unparsed
 
 
 class Handler(Protocol):
@@ -105,11 +105,11 @@
         elif self._pending:
             self._keep(data)
         else:
-            self._parser.feed(data)
+            self._parser.feed(data, self.clients.clock())
 
     def _keep(self, data: bytes) -> None:
         """Read on, or a client that leaves goes unseen; past a head's size `Clients.sweep` looks for that."""
-        self._pending.put(data)
+        self._pending.put(data, self.clients.clock())
         if self.clients.held_bytes > self.clients.memory_limit_bytes:
             self.clients.counters.add("bodies_over_memory")
             self._pending.discard_unparsed()
@@ -122,7 +122,7 @@
         if self._parser.feeding:
             return
         while self._pending.has_unparsed and self.accepts_requests and not (self.pipelined or self.closed):
-            self._parser.feed(self._pending.take())
+            self._parser.feed(*self._pending.take())
         caught_up = not (self._pending or self.ended or self.closed)
         if caught_up and not self.transport.is_reading():
             self.transport.resume_reading()
