--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -21,7 +21,7 @@
 from umberlead.core.interface import Result
 from umberlead.core.slots import Slots
 from umberlead.core.wheel import Timer, Wheel
-from umberlead.limits import BODY_MOST, HEAD_MOST, LACK
+from umberlead.limits import BODY_MOST, HEAD_MOST, LOCAL_RESOURCE_ERRNOS
 
 IDLE_PART = 0.6  # of the keepalive: the chunk server may close at any time up to the whole of it
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
@@ -42,7 +42,7 @@
 LENGTH = re.compile(rb"[0-9]{1,15}")
 FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 FIELDS_MOST = 16  # values of a load report
-OURS = LACK | {errno.EADDRNOTAVAIL}
+OURS = LOCAL_RESOURCE_ERRNOS | {errno.EADDRNOTAVAIL}
 
 
 @dataclass(slots=True)
@@ -202,12 +202,29 @@
             self.timer = self.pool.wheel.after(self.pool.link_timeout, self._stalled)
 
     def eof_received(self) -> bool:
+        if not self.framed and self._was_reset():
+            return False  # `connection_lost` follows: what came breaks off, or counts as a reset
         if self.sink is not None and not self.framed:
             self._passed(False)
         if self.attempt is not None and self.why is None and self.head_done and not self.framed:
             self._answered(keep=False)  # an answer may end with its connection
         return False
 
+    def _was_reset(self) -> bool:
+        """Tell a reset from an end: libuv reports an end where a reset came with the last bytes."""
+        assert self.transport is not None
+        fd = self.transport.get_extra_info("socket").fileno()
+        same = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)  # not a descriptor more
+        try:
+            same.recv(1, socket.MSG_DONTWAIT)
+        except ConnectionResetError:
+            return True
+        except OSError:
+            pass
+        finally:
+            same.detach()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.over:
             return
