--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -17,6 +17,8 @@
     "tests/test_crossings.py",
     "tests/test_discovery.py",
     "tests/test_long.py",
+    "tests/test_standing.py",
+    "tests/test_standing_requests.py",
     "tests/test_volumes.py",
 )
 planted.PLANTED = (  # type: ignore[assignment]
@@ -45,6 +47,11 @@
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
     ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
     ("hand-over of news: a draining server gets what was dialled", ATTEMPTS, "if not self.pool.takes_new(self.attempt.node):", "if False:"),
+    ("watches: what a reload leaves is not read", WATCH, "            if stream is not None:\n                stream.read_ahead()\n", "            if False:\n                stream.read_ahead()\n"),
+    ("watches: what came is not read before one is silent", WATCH, "            stream.read_ahead()\n            if stream.dead or", "            if stream.dead or"),
+    ("retries: a reset with the last bytes is an end", ATTEMPTS, "if not self.framed and self._was_reset():", "if False:"),
+    ("pipelining: eight commands of a read are answered", HTTP, "WAITING_MOST = 256", "WAITING_MOST = 8"),
+    ("pipelining: the time of one that waits runs from its turn", HTTP, "message.received = self._came", "message.received = self.clients.clock()"),
     ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
     ("watches: a list waits for its line's end", WATCH, '        if self.buffer.endswith(b"}"):', "        if False:"),
     ("watches: what can't be read is passed over", WATCH, "        if not self.watch.line(self, whole):", "        if not self.watch.line(self, whole) and False:"),
