--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -7,6 +7,7 @@
 from tests import planted
 
 CLIENTS, SERVER = "umberlead/net/client_connections.py", "umberlead/net/server_connection.py"
+PARSER = "umberlead/net/request_parser.py"
 RELAY, ENGINE, DECIDE = "umberlead/net/relay.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
 ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
@@ -51,8 +52,8 @@
     ("watches: what a reload leaves is not read", WATCH, "            if stream is not None:\n                stream.read_ahead()\n", "            if False:\n                stream.read_ahead()\n"),
     ("watches: what came is not read before one is silent", WATCH, "            stream.read_ahead()\n            if stream.dead or", "            if stream.dead or"),
     ("retries: a reset with the last bytes is an end", ATTEMPTS, "if not self.framed and self._was_reset():", "if False:"),
-    ("pipelining: eight commands of a read are answered", HTTP, "WAITING_MOST = 256", "WAITING_MOST = 8"),
-    ("pipelining: the time of one that waits runs from its turn", HTTP, "message.received = self._came", "message.received = self.clients.clock()"),
+    ("pipelining: eight commands of a read are answered", SERVER, "MAX_PIPELINED_REQUESTS = 256", "MAX_PIPELINED_REQUESTS = 8"),
+    ("pipelining: the time of one that waits runs from its turn", PARSER, "message.received = self._received_us", "message.received = self._clients.clock()"),
     ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
     ("watches: a list waits for its line's end", WATCH, '        if self.buffer.endswith(b"}"):', "        if False:"),
     ("watches: what can't be read is passed over", WATCH, "        if not self.watch.line(self, whole):", "        if not self.watch.line(self, whole) and False:"),
