Hear a server out that pauses up to 0.6 s within an answer, also on a read's last try

At fault: - net/attempts.py PAUSE, 0.5 s: a server that pauses 0.6 s within an answer of no told length and up to 64 KiB, from 0.6 s before the request's time on, was cut off by the front at that time, or after 0.5 s; within a write's answer it was answered as failed though its 200 was on the way. 0.4 s passed everywhere before as now. - core/engine.py _send: `once` tells the carrier that an attempt can't be sent again, but a read's last try did not have it. Its answer was cut off after the link time-out (0.25 s) for another try that the limit of attempts forbids, and failed.

PAUSE is 0.65 s now, and the last try counts as one that can't be sent again. A read with tries left is tried again after the link time-out as before, and answered once.

--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -404,7 +404,8 @@
             self.counters.add("attempts_barred")
             self._post(api.Outcome(ticket.id, node, number, Result.MOOT, 0, ticket.answered))
             return
-        once = self.classes[ticket.ask.class_name].effect is not Effect.SAFE
+        last = ticket.tries >= self.settings.max_attempts
+        once = last or self.classes[ticket.ask.class_name].effect is not Effect.SAFE
         ticket.out = Attempt(ticket, number, node, now, ticket.ask.give_up, once)
         self.counters.add("attempts_sent")
         if self.watcher is not None:
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -27,7 +27,7 @@
 RISK = 0.02  # part of kept connections that break under a request from which a write takes a new one
 SMOOTH = 0.02  # weight of one more reuse in that part
 STILL = 10_000_000  # us in which a long answer must move on
-PAUSE = 500_000  # us that a server may stop within an answer that it is still giving
+PAUSE = 650_000  # us that a server may stop within an answer that it is still giving
 # us past its request's time from which a long answer gives its place up where places are short: one of no
 # told length may never end; one of a told length has an end, however slow.
 LATE, OLD = 10_000_000, 60_000_000
