Read an upload's end that is here as its time is over, before refusing it with 408

At fault: net/http.py expire. A front that stood still, or is busy, looks at times before it reads: an upload whose last piece had come was refused with 408 though whole. An idle connection was looked at for unread bytes already. Now a half read request is, too, once a request: one that trickles still ends.

Held, and tested now: just faster than the pace is served, just slower gets a whole 408 and time to read it; bodies that memory does not allow get a whole 413 or 503.

--- a/tests/test_long_crossings.py
+++ b/tests/test_long_crossings.py
@@ -11,7 +11,7 @@
 from tests.exchange import PATIENCE, Peer
 from tests.test_long import TIME, WELL, Long, begun, ended, piece, servers
 from umberlead.net.attempts import PAUSE, SLOW
-from umberlead.net.http import GRACE, ServerConnection
+from umberlead.net.http import GRACE, LINGER, ServerConnection
 
 SMALL_BUFFER = 4096  # bytes of a socket's buffer, both ways, to a client that reads slowly
 
@@ -184,6 +184,60 @@
          "writes n0 PUT 1\nends\n")  # fmt: skip
 
 
+# Uploads in pieces at the edge of the pace
+
+HUGE = "| PUT /write?block=7f3a9c21e0b4d655 HTTP/1.1\n& ask a1 / 0\n| Content-Length: {}\n|\n"
+TOO_LATE = "a <\n& bad 408 Request Timeout / the request did not come whole in time\n"
+LINGERED = f"clock {LINGER + 100_000}\na eof\n"
+
+
+def upload(size: int, pieces: int, each: int) -> str:
+    """The first bytes of a body of that size: so many pieces, one a second."""
+    steps = "".join(
+        f"clock 1000000\na >\n@ {n * each} {min(n * each + each, size)}\n" + WELL_KEPT for n in range(pieces)
+    )
+    return ALONE + WELL.format("b") + "a >\n" + HUGE.format(size) + "a half read\n" + steps
+
+
+WELL_KEPT = "b >\n| GET /healthz HTTP/1.1\n|\nb <\n& well\n"  # all that was sent before it is read
+
+
+def test_an_upload_just_faster_than_the_pace_is_served() -> None:
+    play(upload(250_000, 8, 33_000), STORED, "writes n0 PUT 1\n")
+
+
+def test_an_upload_just_slower_gets_a_whole_answer_before_its_end() -> None:
+    """24,000 bytes behind each second: its 2.5 s are used up after 7 s."""
+    play(upload(250_000, 6, 24_000), "clock 700000\n", WELL_KEPT, "counter bad_requests_408 0\n",
+         "clock 400000\n", TOO_LATE, LINGERED, "n0 ran PUT 0\n")  # fmt: skip
+
+
+def test_an_upload_whose_end_is_here_as_its_time_is_over_is_read_first() -> None:
+    """A front that stood still, or was busy, sees the time before the piece: it was refused though whole."""
+    play(upload(168_000, 6, 24_000), "clock 700000\n", "a sends, then sweep 400000\n@ 144000 168000\n",
+         STORED, "writes n0 PUT 1\n")  # fmt: skip
+
+
+def test_a_piece_that_is_no_end_wins_no_more_than_one_look() -> None:
+    play(upload(250_000, 6, 24_000), "clock 700000\n", "a sends, then sweep 400000\n= x\n",
+         "counter bad_requests_408 0\n", "a sends, then sweep 100000\n= x\n", "counter bad_requests_408 1\n",
+         TOO_LATE, LINGERED)  # fmt: skip
+
+
+def test_an_upload_larger_than_memory_allows_is_refused_with_its_head() -> None:
+    play(ALONE, "client b platform\nmemory 100000\n", "a >\n", HUGE.format(100_001), "@ 0 20000\n",
+         "a <\n& bad 413 Content Too Large / a body may have 100000 bytes\n", LINGERED,
+         "b >\n", HUGE.format(100_000), "@ 0 100000\nb <\n& done\nwrites n0 PUT 1\n")  # fmt: skip
+
+
+def test_two_uploads_that_memory_does_not_hold_together_end_with_a_refusal_and_an_answer() -> None:
+    play(ALONE, "client b platform\nmemory 100000\n", "b >\n",
+         HUGE.format(70_000).replace("ask a1", "ask b1"), "@ 0 60000\nb half read\n", "a >\n",
+         HUGE.format(70_000), "@ 0 60000\n",
+         NO_ROOM.replace("too many connections", "too many bodies are held at present").replace("30", "45"),
+         "b >\n@ 60000 70000\nb <\n& done\nwrites n0 PUT 1\n")  # fmt: skip
+
+
 # A server that pauses within an answer
 
 ASKED = "node n0 0:script\nclient a platform\na >\n& {0} a1 / 0\nn0 <\n& {1} a1 / 0\n"
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -350,6 +350,7 @@
         self._twice = b""  # a header that came again and must not
         self._body: bytes | bytearray = b""
         self._body_since = 0  # when the head was whole
+        self._overtime = False  # its time was over as something of it was here unread
         self._writable: asyncio.Future[None] | None = None
         self.source: Source | None = None  # of the long answer that is on its way
         self._chunked, self._done = False, cast(Callable[[bool], None], None)
@@ -486,7 +487,7 @@
         if self.ended or self._bad is not None:
             raise Stopped
         self.message, self._body, self._size, self._in_head = Message(), b"", 0, True
-        self._lines, self._twice = 0, b""
+        self._lines, self._twice, self._overtime = 0, b"", False
         if self.open is None and self.served:  # the first one's time runs from the connecting
             self.since = self.clients.clock()
 
@@ -807,6 +808,9 @@
 
     def expire(self) -> None:
         if self.message is not None and not self.ended:
+            if self.arriving() and not self._overtime:  # its end may be here: once, or a trickle never ends
+                self._overtime = True
+                return
             self.refuse(408, "the request did not come whole in time")
         elif self.ended or not self.arriving():
             self.transport.abort()  # a plain close waits for a client that may never read
