Reset what an HTTP/1.0 client has not read of an answer as the process ends

At fault: Front.end and net/http.py: an answer in chunks, whole from its server, to a client of HTTP/1.0 that reads slowly ends with its connection. At the process's end what still stood here was dropped, and the system closed in order: the client could not tell that it had not all. Pool.close breaks only off what its servers have not ended. Clients.close now does the same for what is unread, by a reset where nothing else tells.

Held, and tested now: SIGTERM and a hand-over in the middle of a long answer and of an upload in pieces; readers that rest, with the server's silence and the request's time counted from their reading on.

--- a/tests/test_long_crossings.py
+++ b/tests/test_long_crossings.py
@@ -9,9 +9,9 @@
 import pytest
 
 from tests.exchange import PATIENCE, Peer
-from tests.test_long import TIME, WELL, Long, begun, ended, piece, servers
-from umberlead.net.attempts import PAUSE, SLOW
-from umberlead.net.http import GRACE, LINGER, ServerConnection
+from tests.test_long import HEADS, TIME, WELL, Long, begun, ended, piece, servers
+from umberlead.net.attempts import PAUSE, SLOW, STILL
+from umberlead.net.http import GRACE, LINGER, UNREAD, ServerConnection
 
 SMALL_BUFFER = 4096  # bytes of a socket's buffer, both ways, to a client that reads slowly
 
@@ -302,3 +302,73 @@
     left = max(PAUSE, -at)
     play(small("chunked", at), f"clock {left - 100_000}\n", WELL.format("c"),
          "counter node_answers_broke_off 0\n", "clock 150000\na cut\n")  # fmt: skip
+
+
+# A client that reads slowly behind a long answer
+
+
+def slowly(way: str, first: int = 70_000, version: str = "1.1") -> str:
+    made = begun("a", 0, way, first, version)
+    return servers(2) + made.replace("client a platform\n", "slow client a\n")
+
+
+@pytest.mark.parametrize("way", HEADS)
+def test_a_reader_that_rests_past_its_request_s_time_gets_all(way: str) -> None:
+    """What it rests is not the server's: neither its silence nor its place are counted meanwhile."""
+    play(slowly(way), "holds 1\n", "clock 9000000\n" * 3, WELL.format("b"), "a reads\na has 70000\nholds 0\n",
+         f"clock {STILL - 1_000_000}\n", piece(0, way, 70_000, 120_000), ended(0, way),
+         "a whole 120000\ncounter node_answers_broke_off 0\n")  # fmt: skip
+
+
+@pytest.mark.parametrize("way", ["chunked", "bare"])
+def test_a_small_one_s_server_may_pause_as_its_reader_goes_on(way: str) -> None:
+    """Held back from before its request's time to past it: that time is the later by so much."""
+    play(slowly(way, 30_000), WELL.format("b"), f"clock {SLOW + 1000}\n", piece(0, way, 30_000, 60_000),
+         "holds 1\nclock 9000000\n", WELL.format("c"), "a reads\na has 60000\nholds 0\nclock 600000\n",
+         piece(0, way, 60_000, 61_000), ended(0, way), "a whole 61000\n")  # fmt: skip
+
+
+def test_a_server_that_is_lost_while_its_reader_rests_is_seen_as_that_reads_on() -> None:
+    play(slowly("told"), "holds 1\nn0 reset\nclock 9000000\n", WELL.format("b"), "a reads\na cut\n",
+         "counter node_answers_broke_off 1\n")  # fmt: skip
+    play(slowly("told"), "holds 1\nclock 9000000\n", WELL.format("b"), "a reads\na has 70000\nholds 0\n",
+         f"clock {STILL + 100_000}\na cut\ncounter node_answers_broke_off 1\n")  # fmt: skip
+
+
+def test_a_reader_that_never_reads_ends_and_its_server_is_not_blamed() -> None:
+    play(slowly("told"), "holds 1\nclock 100000\n", f"clock {UNREAD - 1_000_000}\n", WELL.format("b"),
+         "holds 1\nclock 1200000\na reads\na cut\ncounter node_answers_broke_off 0\n")  # fmt: skip
+
+
+# Shutdown and hand-over
+
+DRAIN, FINISH, END = "clock 3310000\n", "clock 200000\n", "clock 100000\n"
+
+
+@pytest.mark.parametrize("beside", ["", "beside\n"])
+@pytest.mark.parametrize("way", HEADS)
+def test_a_long_answer_goes_on_behind_the_drain_and_the_end_comes_with_it(beside: str, way: str) -> None:
+    """Nothing is cut before the process must end, and it doesn't wait until then."""
+    play(servers(1), begun("a", 0, way), "a has 70000\n", beside, "signal TERM\n", WELL_STOPPING(beside),
+         DRAIN, piece(0, way, 70_000, 80_000), "a has 80000\n", piece(0, way, 80_000, 120_000), ended(0, way),
+         "a whole 120000\n", END, "ends\n")  # fmt: skip
+
+
+def WELL_STOPPING(beside: str) -> str:
+    return (WELL_CLOSING if beside else WELL).format("b")
+
+
+@pytest.mark.parametrize("beside", ["", "beside\n"])
+def test_an_upload_in_pieces_is_served_by_the_process_that_took_it(beside: str) -> None:
+    closing = "a <\n| HTTP/1.1 200 OK\n| Content-Length: 0\n| Connection: close\n|\n"
+    play(ALONE, "a >\n", PUT, "= a\na half read\n", beside, "signal TERM\n", WELL_STOPPING(beside),
+         "clock 1000000\na >\n= b\nclock 1000000\na >\n= cd\n",
+         closing if beside else STORED, "writes n0 PUT 1\n", "clock 1400000\nends\n")  # fmt: skip
+
+
+def test_what_its_reader_has_not_read_as_the_process_ends_is_seen_to_break_off() -> None:
+    """All of it came from the server; to a client of HTTP/1.0 the process's end was the answer's."""
+    for version, cut in (("1.0", "a reads a reset\n"), ("1.1", "a reads\na cut\n")):
+        play(slowly("chunked", 30_000, version), WELL.format("b"), f"clock {SLOW + 1000}\n",
+             piece(0, "chunked", 30_000, 60_000) + "| 0\n|\n", "a unread\nsignal TERM\n",
+             WELL.format("c"), DRAIN, FINISH, END, "ends\nover\n", cut)  # fmt: skip
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -362,6 +362,8 @@
             if self.peers[0].transport is not None:
                 self.peers[0].transport.close()
         self.pool.close()
+        for clients in self.groups:
+            clients.close()
         for door, _ in self.doors:
             door.close()
         self.shared.leave()
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -167,6 +167,12 @@
         for conn in self.slots:
             conn.cut_short()
 
+    def close(self) -> None:
+        """The process ends: clients see at once that what they have not read by now won't come."""
+        for conn in self.slots:
+            if conn.unread:
+                conn.break_off()
+
     def spares(self) -> Iterator["ServerConnection"]:
         """Connections whose place may be taken, the first to go first. They are looked for once, as the first
         is asked for: one search serves a whole turn of accepts."""
@@ -697,6 +703,10 @@
         with its connection, that is reset."""
         self.source = None
         self._done(False)
+        self.break_off()
+
+    def break_off(self) -> None:
+        """In the middle of an answer. Neither chunks nor a length would tell of it: only a reset does."""
         if not (self._chunked or self.length or self.transport.is_closing()):
             sock = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
