Force the crossings of long answers and uploads in pieces, and tell what holds

The rest of the crossings: places that are short while a long answer moves or is held by its reader, and a connection or server that long answers and short requests share.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -17,6 +17,7 @@
     "tests/test_crossings.py",
     "tests/test_discovery.py",
     "tests/test_long.py",
+    "tests/test_long_crossings.py",
     "tests/test_volumes.py",
 )
 planted.PLANTED = (  # type: ignore[assignment]
@@ -67,6 +68,12 @@
     ("long answers: none gives its client's place", HTTP, "        if not late:\n            return False\n", "        return False\n"),
     ("long answers: to a client of HTTP/1.0 one that broke off looks whole", HTTP, "if not (self._chunked or self.length or self.transport.is_closing()):", "if False:"),
     ("long answers: a write's is cut off where its server pauses", ATTEMPTS, "wait = max(wait, PAUSE)", "pass"),
+    ("long answers: a read's last try is cut off where its server pauses", ENGINE, "once = last or ", "once = "),
+    ("long answers: a server may pause for half a second only", ATTEMPTS, "PAUSE = 650_000", "PAUSE = 500_000"),
+    ("long answers: to a client of HTTP/1.0 one unread at the end looks whole", FRONT, "        for clients in self.groups:\n            clients.close()\n", ""),
+    ("uploads: what is half read is closed on as its place goes", HTTP, "        if self.message is not None and not self.ended:\n            self.refuse(503, \"too many connections\")\n", ""),
+    ("uploads: the end that is here as its time is over is not read", HTTP, "if self.arriving() and not self._overtime:", "if False:"),
+    ("uploads: one that trickles never ends", HTTP, "if self.arriving() and not self._overtime:", "if self.arriving():"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.leaving = self.processes > 1", "clients.leaving = False"),
     ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
--- a/tests/test_long_crossings.py
+++ b/tests/test_long_crossings.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.exchange import PATIENCE, Peer
-from tests.test_long import HEADS, TIME, WELL, Long, begun, ended, piece, servers
-from umberlead.net.attempts import PAUSE, SLOW, STILL
+from tests.test_long import ASKS, HEADS, SERVED, TIME, WELL, Long, begun, ended, piece, servers
+from umberlead.net.attempts import LATE, PAUSE, SLOW, STILL
 from umberlead.net.http import GRACE, LINGER, UNREAD, ServerConnection
 
 SMALL_BUFFER = 4096  # bytes of a socket's buffer, both ways, to a client that reads slowly
@@ -340,6 +340,32 @@
          "holds 1\nclock 1200000\na reads\na cut\ncounter node_answers_broke_off 0\n")  # fmt: skip
 
 
+# Places that are short
+
+REFUSED = ASKS + "{0} <\n& refused\n"
+
+
+def test_one_that_is_late_by_less_than_the_give_way_age_keeps_its_place() -> None:
+    """The other's need is refused, at once; a little later it wins."""
+    moves = "".join(
+        "clock 5000000\n" + piece(0, "chunked", at, at + 10_000) + f"a has {at + 10_000}\n"
+        for at in (70_000, 80_000, 90_000)
+    )
+    left = TIME + LATE - 15_000_000
+    play(servers(2), begun("a", 0, "chunked"), "a has 70000\nplaces nodes 1\n", moves,
+         f"clock {left - 200_000}\n", REFUSED.format("x", 1), "counter node_answers_gave_way 0\n",
+         piece(0, "chunked", 100_000, 110_000), "a has 110000\n",
+         "clock 200000\n", ASKS.format("d", 1), "a cut\n", SERVED.format("d", 1))  # fmt: skip
+
+
+def test_one_that_its_reader_holds_keeps_its_place_for_that_time() -> None:
+    """Its server is not late for that; once it is let go on its time runs on."""
+    play(slowly("chunked"), "holds 1\nplaces nodes 1\n", "clock 9000000\n" * 3, REFUSED.format("x", 1),
+         "counter node_answers_gave_way 0\na reads\na has 70000\nholds 0\n", REFUSED.format("y", 1),
+         "clock 9000000\n", piece(0, "chunked", 70_000, 80_000), "a has 80000\nclock 9000000\n",
+         ASKS.format("d", 1), "a cut\n", SERVED.format("d", 1))  # fmt: skip
+
+
 # Shutdown and hand-over
 
 DRAIN, FINISH, END = "clock 3310000\n", "clock 200000\n", "clock 100000\n"
@@ -372,3 +398,25 @@
         play(slowly("chunked", 30_000, version), WELL.format("b"), f"clock {SLOW + 1000}\n",
              piece(0, "chunked", 30_000, 60_000) + "| 0\n|\n", "a unread\nsignal TERM\n",
              WELL.format("c"), DRAIN, FINISH, END, "ends\nover\n", cut)  # fmt: skip
+
+
+# A connection that carried a long answer
+
+
+def test_a_connection_serves_a_short_request_by_that_one_s_time() -> None:
+    """Nothing of the long answer's time, nor of its reader's, is left on it."""
+    brief = begun("c", 0, "chunked", 1000).replace(str(TIME / 1e6), "0.5")
+    play(slowly("told"), "holds 1\nclock 9000000\n", WELL.format("b"), "a reads\na has 70000\nholds 0\n",
+         piece(0, "told", 70_000, 120_000), "a whole 120000\nclock 10000\n", brief, WELL.format("d"),
+         f"clock {SLOW + 1000}\n", piece(0, "chunked", 1000, 2000), "c has 2000\n",
+         "counter node_connections_opened 1\ncounter node_connections_reused 1\n",
+         "clock 550000\n", WELL.format("e"), "counter node_answers_broke_off 0\n",
+         "clock 150000\nc cut\n")  # fmt: skip
+
+
+def test_a_long_answer_is_not_cut_by_a_shorter_request_at_its_server() -> None:
+    play(servers(1), begun("a", 0, "chunked", 1000), WELL.format("b"), f"clock {SLOW + 1000}\n",
+         piece(0, "chunked", 1000, 2000), "a has 2000\n", "client c platform\nc >\n",
+         "| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n| X-Budget: 0.5\n& ask c1 / 0\n|\n",
+         "until attempts_written 2\nclock 500000\nc <\n& refused\n", "clock 5000000\n", WELL.format("d"),
+         "counter node_answers_broke_off 0\na has 2000\n")  # fmt: skip
