--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -56,6 +56,9 @@
     def shut_down(self) -> None:
         """Refuse a request that is half read, or close it where it has none."""
 
+    def abort_reply(self) -> None:
+        """Break off the reply that is being sent, so that the client can tell."""
+
     def abort_evicted(self) -> None:
         """End it for another's need of its place; a request that is half read is refused first."""
 
@@ -161,6 +164,12 @@
         for conn in self.slots:
             conn.shut_down()
 
+    def close(self) -> None:
+        """Break off replies that their clients have not read: the process ends, and the rest won't come."""
+        for conn in self.slots:
+            if conn.write_blocked:
+                conn.abort_reply()
+
     def evictable(self) -> Iterator[ClientConnection]:
         """Iterate over the connections that can be evicted, the first to go first.
 
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -1,6 +1,8 @@
 """The server's side of one HTTP/1.1 connection: the order of requests, replies, and how it ends."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Iterable
 from typing import Protocol, cast
 
@@ -11,6 +13,7 @@
 from umberlead.net.request_parser import RequestParser
 from umberlead.net.socket_state import DISCONNECT_EVENTS, SocketState
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time: the close is a reset
 MAX_PIPELINED_REQUESTS = 256  # whole requests that may wait, all of one read: later reads wait unparsed
 
 
@@ -51,6 +54,8 @@
         self._parser = RequestParser(self, handler, clients)
         self._ignored_bytes = 0  # read after the end
         self._blocked_bytes = 0  # of a reply that the client has not read
+        self._request_overdue = False  # its time was over when something of it was here unread
+        self._reply_is_chunked = False
         self._writable: asyncio.Future[None] | None = None
 
     # asyncio
@@ -162,6 +167,7 @@
 
     def request_begun(self) -> None:
         """Begin a request's time; the first one's runs from the connecting."""
+        self._request_overdue = False
         if self.current is None and self.served:
             self.state_since_us = self.clients.clock()
 
@@ -266,6 +272,7 @@
         """
         if self.closed or self.client_disconnected:
             return
+        self._reply_is_chunked = False
         size = len(body) if length is None else length
         parts = self.response_head(status, headers, None if status in BODYLESS_STATUSES else size)
         parts.append(body)
@@ -284,7 +291,7 @@
             source: gives the rest to its sink, and is held back where the client does not read.
             done: is told whether all of it is out, unless the client leaves.
         """
-        chunked = Relay.uses_chunks(length, self.current)
+        chunked = self._reply_is_chunked = Relay.uses_chunks(length, self.current)
         self.close_after_reply |= length is None and not chunked
         coding = (b"Transfer-Encoding: chunked",) if chunked else ()
         relay = Relay(self, chunked, done)
@@ -312,6 +319,17 @@
 
     # Ends
 
+    def abort_reply(self) -> None:
+        """Break off the reply that is being sent, so that the client can tell.
+
+        It ends short of its length, or of its last chunk; where it would end with its connection, that is
+        reset.
+        """
+        if not (self._reply_is_chunked or self.length or self.transport.is_closing()):
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
     def check_disconnected(self) -> bool:
         """Tell whether the client ended its sending, closed or reset, by the system's word at this moment.
 
@@ -351,6 +369,9 @@
     def on_timeout(self) -> None:
         """End it: it stayed in its state for too long."""
         if self._parser.message is not None and not self.ended:
+            if self.has_unread_request() and not self._request_overdue:
+                self._request_overdue = True  # its end may be here: once, or a trickle never ends
+                return
             self.refuse(408, "the request did not come whole in time")
         elif self.ended or not self.has_unread_request():
             self.transport.abort()  # a plain close waits for a client that may never read
