Let the listener's tests answer refusals again: their stand-in named the handler's old call

The cut of net/http.py renamed `bad` to `reject`, and the stand-in in test_descriptors.py kept the old name, so what it refused was answered by nobody.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -57,7 +57,7 @@
     """A listener, and the descriptors that its connections held as it took each."""
     handler = mock.Mock(max_body_bytes=0, sends_date=False, singleton_headers=frozenset())
     handler.request = lambda conn, _: conn.reply(200, (), b"x")
-    handler.bad = lambda conn, status, why: conn.reply(status, (), b"x")
+    handler.reject = lambda conn, status, why: conn.reply(status, (), b"x")
     made = Listener(handler, clients, ("127.0.0.1", 0), asyncio.get_running_loop())
     peak, take = list[int](), made._connect
 
