Bound what one process sends a cold server in a window, served or not (slow start)

Windows at fault were looked at one by one: a head or two that are served quickly send a third to half of N each, also a head with an even part (27 of 106 units in one), as NodeView.answer gives the rest that was charged back.

Now a rolling log by server of what was sent, whatever came of it, holds one head under 0.85 of its part of the whole bound, and its part under a fifth or the even one (recovery/slow_start.py); one request may always go. The rests stay as they were.

test_served_units_leave_the_cold_window asserted the fault, that six requests of 18 units from one of two heads go at once where both may send 31: now it holds four of them, and says when the fifth goes.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,13 +119,21 @@
     assert sum(windows) >= 14.0
 
 
-def test_served_units_leave_the_cold_window() -> None:
-    now = T0 + 3_000_000
+def test_served_units_leave_the_cold_rest_and_stay_in_its_window() -> None:
+    """One of two heads, N = 8 requests of 2 units: the rests alone allow 4 units without service. With it all
+    18 went in 0.15 s, more than half of what both may send (31.3 in 1.5 s): it falls by the sum."""
+    now, sent = T0 + 3_000_000, list[tuple[int, float]]()
     h = cold(now)
     for k in range(6):
         at = now + 30_000 * k
-        assert sends(feed(h, at, ask(f"a{k}", at, units=3.0))) == [f"a{k}"]
-        feed(h, at + 20_000, end(f"a{k}"))
+        out = sends(feed(h, at, ask(f"a{k}", at, units=3.0)))
+        sent += [(at, 3.0)] * len(out)
+        for name in out:
+            feed(h, at + 20_000, end(name))
+    assert [at for at, _ in sent] == [now + 30_000 * k for k in range(4)]
+    first_free = now + 1_500_000
+    assert sends(feed(h, first_free - 1, ask("b", first_free - 1, units=3.0))) == []
+    assert sends(feed(h, first_free)) == ["b"]
 
 
 def test_restarted_head_waits_a_window_before_a_cold_node() -> None:
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,89 @@
+"""The most that one head sends a warming server in a window, served or not, and what all heads do by it."""
+
+import math
+
+import pytest
+
+from tests.helpers import T0, ask, end, feed, head, sends, settings, up
+from umberlead.core.interface import Node, NodeState, Result, Settings
+from umberlead.recovery.slow_start import LEAST_REQUESTS, SendWindow, window_units
+
+WINDOW_US = 3_000_000
+WARM_UP_US = 16_000_000
+START = 1_000_000_000
+COLD = {"cold_share": 0.2, "cold_multiple": 4.0, "cold_window": WINDOW_US, "warm_up": WARM_UP_US}
+
+
+def _node() -> Node:
+    return Node("n0", NodeState.UP, 0, START)
+
+
+def _bound_units(s: Settings, age_us: int) -> float:
+    n = s.cold_units / s.mean_units * (1 + (1 / s.cold_share - 1) * age_us / WARM_UP_US)
+    return s.mean_units * (n + 2 * math.sqrt(n) + 2)
+
+
+def test_a_window_holds_what_was_sent_in_it_and_says_when_there_is_room() -> None:
+    window = SendWindow(100)
+    for at, units in ((0, 2.0), (10, 3.0), (20, 1.0)):
+        assert window.free_at(at, units, 6.0) == at
+        window.add(at, units)
+    assert window.free_at(30, 2.0, 6.0) == 100
+    assert window.free_at(30, 2.5, 6.0) == 110
+    assert window.free_at(30, 6.0, 6.0) == 120
+    assert window.free_at(30, 60.0, 6.0) == 120  # larger than all of it: alone
+    assert window.free_at(99, 2.0, 6.0) == 100
+    assert window.free_at(100, 2.0, 6.0) == 100
+    assert window.free_at(500, 60.0, 6.0) == 500
+
+
+@pytest.mark.parametrize("age", [0, 4_000_000, 15_000_000])
+@pytest.mark.parametrize("heads", [1, 5, 10])
+def test_even_parts_of_few_heads_stay_below_the_bound(heads: int, age: int) -> None:
+    s = settings(cold_units=60.0, heads=heads, **COLD)
+    whole = heads * window_units(s, _node(), START + age, 1 / heads)
+    assert 0.8 * _bound_units(s, age) < whole < 0.9 * _bound_units(s, age)
+
+
+def test_a_busy_head_has_a_fifth_at_most_and_one_of_many_a_request() -> None:
+    s = settings(cold_units=60.0, heads=10, **COLD)
+    even = window_units(s, _node(), START, 0.1)
+    assert window_units(s, _node(), START, 0.15) == pytest.approx(1.5 * even)
+    assert window_units(s, _node(), START, 0.33) == pytest.approx(2 * even)
+    many = settings(cold_units=8.0, heads=200, **COLD)
+    assert window_units(many, _node(), START, 0.33) == pytest.approx(0.85 * 0.2 * _bound_units(many, 0))
+    assert window_units(many, _node(), START, 0.005) == LEAST_REQUESTS * many.mean_units
+
+
+def _windows(heads: int, cold_units: float, result: Result) -> list[tuple[float, float]]:
+    """What all heads, each asked without end, sent in the window that ends with an arrival, and the bound."""
+    s = settings(cold_units=cold_units, heads=heads, **COLD)
+    began = T0 + WINDOW_US
+    made = [
+        head(T0, up("n0", started=began - 1), heads=heads, cold_units=cold_units, **COLD)
+        for _ in range(heads)
+    ]
+    sent = list[tuple[int, float]]()
+    for at in range(began, began + 2 * WINDOW_US, 20_000):
+        for k, h in enumerate(made):
+            out = sends(feed(h, at, ask(f"{k}-{at}", at, give_up=at + 300_000)))
+            while out:
+                sent.append((at, s.mean_units))
+                out += sends(feed(h, at + 5_000, end(out.pop(), result, elapsed=5_000)))
+    return [
+        (sum(units for t, units in sent if at - WINDOW_US < t <= at), _bound_units(s, at - began))
+        for at, _ in sent
+    ]
+
+
+@pytest.mark.parametrize("heads, cold_units", [(1, 12.0), (5, 40.0), (10, 60.0), (30, 90.0)])
+@pytest.mark.parametrize("result", [Result.OK, Result.FULL])
+def test_windows_of_heads_that_are_asked_without_end_hold(
+    heads: int, cold_units: float, result: Result
+) -> None:
+    """A quick server, or one that turns all away: what all send stays below the bound at every arrival."""
+    windows = _windows(heads, cold_units, result)
+    assert windows
+    assert all(got <= bound for got, bound in windows), max(got / bound for got, bound in windows)
+    if result is Result.OK:
+        assert max(got / bound for got, bound in windows) > 0.6
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -18,6 +18,7 @@
 from umberlead.core.records import Item, Try
 from umberlead.core.volumes import Volumes
 from umberlead.core.weighted import Smooth
+from umberlead.recovery.slow_start import SendWindow, window_units
 from umberlead.recovery.warming import rest, warm
 
 INTERVAL = 500_000  # us between control steps: the paper's interval for its file server
@@ -100,6 +101,7 @@
         self.bound = max(self.cap() / s.heads, s.mean_units)  # all heads may begin at once
         self.level, self.out, self.rest_until = Level(now, SMOOTH, MEMORY, MOST, head.fleet), 0.0, 0
         self.faults = Level(now, 2 * SMOOTH, 2 * MEMORY, 1.0)  # part of answers that are errors
+        self.slow_start = SendWindow(s.cold_window)
         self.passed = 0  # when the latest sent of those served was sent
         self.cold_until: float = max(now, head.born + s.cold_window)  # what our last life sent is not known
         self.target = int(TARGET * min(c.aim for c in s.classes))
@@ -120,7 +122,8 @@
         if not (cost := self.cold_cost(now, units)):
             return max(self.rest_until, now)
         first = self.by * max(cost - self.s.cold_window, 0.0)  # before the first one, by chance: heads differ
-        return max(self.rest_until, self.cold_until + first)
+        most = window_units(self.s, self.info, now, self.part(self.info.shard))
+        return max(self.rest_until, self.cold_until + first, self.slow_start.free_at(now, units, most))
 
     def sick(self, now: int) -> bool:
         """Who has a choice goes elsewhere: who fails quickly looks idle. What only it has is still asked."""
@@ -133,10 +136,12 @@
     def send(self, now: int, units: float) -> Try:
         """What is served can't pass a cold node's capacity: one of the multiple is set aside for it, the
         rest is charged for what is not served. Service gives that back, but for one in the multiple where
-        the part is below a request: many heads may be waiting for the same."""
+        the part is below a request: many heads may be waiting for the same. The window keeps all."""
         self.out, self.by = self.out + units, 0.0
         cost, one = self.cold_cost(now, units), 1 / max(self.s.cold_multiple, 1.01)
         self.cold_until = max(self.cold_until, now) + int(cost / (1 - one))
+        if cost:
+            self.slow_start.add(now, units)
         return Try(self, now, units, cost / (1 - one) - (0 if cost < self.s.cold_window else one * cost))
 
     def answer(self, now: int, tried: Try, result: Result, elapsed: int, pressed: bool) -> None:
--- a/umberlead/recovery/warming.py
+++ b/umberlead/recovery/warming.py
@@ -15,12 +15,16 @@
     return low + (1 - low) * max(age, 0) / s.warm_up
 
 
+def grown(s: api.Settings, node: api.Node, now: int) -> float:
+    """The capacity that `node` is sure to have at `now` (us), over that of its start."""
+    return warm(s, node, now) / max(s.cold_share, LEAST)
+
+
 def rest(s: api.Settings, node: api.Node, now: int, units: float, part: float) -> float:
     """How long (us) `units` take of the `part` that one head has of a warming node; 0 of a warm one.
 
     All heads may ask for what the node always bears in a window, less what it would not serve in time; that
     grows as slowly as a node may warm up."""
-    if (has := warm(s, node, now)) == 1:
+    if warm(s, node, now) == 1:
         return 0.0
-    grown = has / max(s.cold_share, LEAST)
-    return units * s.cold_window / (SERVED * s.cold_units * grown * part)
+    return units * s.cold_window / (SERVED * s.cold_units * grown(s, node, now) * part)
