--- a/umberlead/recovery/slow_start.py
+++ b/umberlead/recovery/slow_start.py
@@ -3,7 +3,8 @@
 A cold server falls by the sum of what all heads send it. Where N requests of mean work are what the settings
 allow in a window, 2 root N + 2 more are put down to chance. The rest that a head is charged for what it sends
 (`warming.rest`) is given back once it was served, so a quick server is sent more than its rests alone would
-allow; this is what bounds it."""
+allow; this is what bounds it.
+"""
 
 import math
 from collections import deque
@@ -28,11 +29,13 @@
     """What was sent in the latest window: a rolling log of times and units."""
 
     def __init__(self, length_us: int) -> None:
+        """Begin with nothing sent; a window is `length_us` long."""
         self.length_us = length_us
         self._log: deque[tuple[int, float]] = deque()
         self._units = 0.0
 
     def add(self, now: int, units: float) -> None:
+        """Note that `units` were sent at `now`, in microseconds."""
         self._forget(now)
         self._log.append((now, units))
         self._units += units
