Let a head send a cold server two requests of mean work in any window, for one

Seen, by simulation: where a head's part of the bound is below two requests (thirty processes and more) the window of the last change lets one go in 3 s, and the rests allow more. The bound holds there with room.

Now two may always go (recovery/slow_start.py LEAST_REQUESTS).

--- a/umberlead/recovery/slow_start.py
+++ b/umberlead/recovery/slow_start.py
@@ -13,7 +13,7 @@
 
 USED = 0.85  # of the bound that the heads' even parts add up to: the rest is left to chance and busy heads
 BUSIEST_PART = 0.2  # of the bound, most that a head has for what it asks more than others; or its even part
-LEAST_REQUESTS = 1.0  # of mean work that any head may send in a window; its rests space those of many heads
+LEAST_REQUESTS = 2.0  # of mean work that any head may send in a window; its rests space those of many heads
 
 
 def window_units(s: api.Settings, node: api.Node, now: int, part: float) -> float:
