Cut net/attempts.py by job: connection, replies, streaming, dialing and the pool

One file of 788 lines held the connections to chunk servers, the parsing of their replies, long replies, raced dials and the pool, under names of its own (`STILL`, `RISK`, `RACERS`, `COMES_UP`, `give_way`, `came_up`).

Now a module a job: node_protocol.py (request, what a reply says and means), reply_parser.py (httptools' callbacks), streaming.py (long replies), node_connection.py (one connection and what its end proves), dialing.py (dials and their races, in happy-eyeballs terms), node_pool.py (kept connections, eviction) and pool_interface.py (what connections need of the pool). Constants follow the glossary: STREAM_IDLE_TIMEOUT_US, SERVER_PAUSE_TIMEOUT_US, UNSIZED_ and SIZED_EVICTION_AGE_US, STREAMING_THRESHOLD_US, RESET_PROBABILITY_THRESHOLD, CONNECTION_ATTEMPT_DELAY, MAX_PARALLEL_DIALS, CONNECT_TIMEOUT_MULTIPLIER; LONG_MOST is MAX_STREAM_BYTES, REST is REUSE_DELAY_US. A reply's sink has `write`, `finish` and `abort`, its source `set_paused`, `cancel`, `eviction_rank` and `evict`. Tests, planted mistakes, exchanges and docs follow. Behaviour is as it was.

Planted mistakes were checked for their texts being there, not played.

--- a/benchmarks/long_lists.py
+++ b/benchmarks/long_lists.py
@@ -39,9 +39,9 @@
 
     def __init__(self) -> None:
         self.addresses: dict[str, Any] = {}
-        self.live: Any = None
+        self.node_counts: Any = None
 
-    def left(self, addresses: Any) -> None: ...
+    def close_unlisted(self, addresses: Any) -> None: ...
 
 
 def sheet(version: int, n: int, weight: str = "1", every: bool = False) -> str:
--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -8,7 +8,9 @@
 
 CLIENTS, SERVER = "umberlead/net/client_connections.py", "umberlead/net/server_connection.py"
 RELAY, ENGINE, DECIDE = "umberlead/net/relay.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
-ATTEMPTS, WATCH, FRONT = "umberlead/net/attempts.py", "umberlead/net/discovery.py", "umberlead/front.py"
+NODE, PARSER = "umberlead/net/node_connection.py", "umberlead/net/reply_parser.py"
+STREAM, POOL = "umberlead/net/streaming.py", "umberlead/net/node_pool.py"
+WATCH, FRONT = "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
 VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
 WATCHING = "umberlead/recovery/watching.py"
@@ -36,16 +38,16 @@
     ("client gone: unseen where reading is paused", CLIENTS, "if conn.reading_paused() and conn.pending_events() & DISCONNECT_EVENTS:", "if False:"),
     ("client gone: what waits behind is kept", SERVER, "        self._rejection = None\n        self._pending.discard()\n", "        self._rejection = None\n"),
     ("client gone: a dial goes on", ENGINE, "                self.carrier.unwanted(ticket.out)\n            self._post(api.ClientGone", "                pass\n            self._post(api.ClientGone"),
-    ("client gone: a dial given up counts against the node", ATTEMPTS, "result = self.why if self.written or self.why is Result.MOOT else Result.NO_LINK", "result = self.why if self.written else Result.NO_LINK"),
+    ("client gone: a dial given up counts against the node", NODE, "result = reason if self.written or reason is Result.MOOT else Result.NO_LINK", "result = reason if self.written else Result.NO_LINK"),
     ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
     ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
     ("client gone: not looked for as an attempt is decided", ENGINE, "            or not self.client_waits(ticket)\n", ""),
-    ("client gone: not looked for as its connection is up", ATTEMPTS, "if not self.pool.client_waits(self.attempt.ticket):", "if False:"),
-    ("client gone: the rest of a request follows in that turn", ATTEMPTS, "if self._paused and not self.written:\n                self._cut()", "if False:\n                self._cut()"),
+    ("client gone: not looked for as its connection is up", NODE, "if not self.pool.client_waits(self.attempt.ticket):", "if False:"),
+    ("client gone: the rest of a request follows in that turn", NODE, "if self.write_paused and not self.written and self.is_open():", "if False:"),
     ("client gone: what was decided with it has no outcome", ENGINE, "for act, ticket in [(act, self._named(act)) for act in acts]:", "for act, ticket in ((act, self._named(act)) for act in acts):"),
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
     ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
-    ("hand-over of news: a draining server gets what was dialled", ATTEMPTS, "if not self.pool.takes_new(self.attempt.node):", "if False:"),
+    ("hand-over of news: a draining server gets what was dialled", NODE, "if not self.pool.takes_new(self.attempt.node):", "if False:"),
     ("watches: an indented list is none", WATCH, "        if self.depth > 0:\n            return\n", ""),
     ("watches: a list waits for its line's end", WATCH, '        if self.buffer.endswith(b"}"):', "        if False:"),
     ("watches: what can't be read is passed over", WATCH, "        if not self.watch.line(self, whole):", "        if not self.watch.line(self, whole) and False:"),
@@ -59,15 +61,15 @@
     ("watches: a Retry-After is kept past the bound", "umberlead/recovery/backoff.py", "max(wait, min(asked, room))", "max(wait, asked)"),
     ("watches: a call given up is not listened to", WATCH, "elif self.late is None and self.pacing.listens_on(stream.call, now):", "elif False:"),
     ("watches: requests are taken before the list is here", FRONT, "if self.watch is not None and self.watch.ours:", "if False:"),
-    ("retries: an interim answer begins the stall", ATTEMPTS, "self.begun = False  # the answer itself", "pass  # the answer itself"),
-    ("long answers: one that moves is cut off at its request's time", ATTEMPTS, "        until = now + STILL if self._held else self.heard + STILL\n", "        until = now + STILL if self._held else min(self.heard + STILL, self.until)\n"),
-    ("long answers: a small one that stopped is waited for", ATTEMPTS, "until = min(until, max(self.heard + PAUSE, self.until))", "pass"),
-    ("long answers: a flood has no end", ATTEMPTS, "elif self.passed > LONG_MOST:", "elif False:"),
-    ("long answers: none gives way at nodes", ATTEMPTS, "            min(late)[2].give_way()\n", "            return False\n"),
-    ("long answers: a lower cap ends all connections at rest", ATTEMPTS, "        for _ in range(len(self.slots) - self.most):  # the cap came down; their places are free a turn later\n", "        while len(self.slots) > self.most:\n"),
+    ("retries: an interim answer begins the stall", PARSER, "self.begun = False  # the reply itself", "pass  # the reply itself"),
+    ("long answers: one that moves is cut off at its request's time", STREAM, "        if until_us <= now_us:\n            self.abort()", "        if min(until_us, until_us if self.paused else self.deadline_us) <= now_us:\n            self.abort()"),
+    ("long answers: a small one that stopped is waited for", STREAM, "until_us = min(until_us, max(reply.heard_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))", "pass"),
+    ("long answers: a flood has no end", STREAM, "elif exceeds_stream_limit(self.passed_bytes):", "elif False:"),
+    ("long answers: none gives way at nodes", POOL, "            min(overdue)[2].evict()\n", "            return False\n"),
+    ("long answers: a lower cap ends all connections at rest", POOL, "        for _ in range(excess):  # the cap came down; their places are free a turn later\n", "        while len(self.slots) > self.max_connections:\n"),
     ("long answers: none gives its client's place", CLIENTS, "        if not overdue:\n            return False\n", "        return False\n"),
     ("long answers: to a client of HTTP/1.0 one that broke off looks whole", RELAY, "if not (self._chunked or connection.length or transport.is_closing()):", "if False:"),
-    ("long answers: a write's is cut off where its server pauses", ATTEMPTS, "wait = max(wait, PAUSE)", "pass"),
+    ("long answers: a write's is cut off where its server pauses", NODE, "wait_us = max(wait_us, SERVER_PAUSE_TIMEOUT_US)", "pass"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.close_after_reply = self.processes > 1", "clients.close_after_reply = False"),
     ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,14 @@
 from umberlead.core.counters import Counters
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import COMES_UP, RACE, RACERS, WORTH, Outgoing, Pool
+from umberlead.net.dialing import (
+    CONNECT_TIMEOUT_MULTIPLIER,
+    CONNECTION_ATTEMPT_DELAY,
+    MAX_PARALLEL_DIALS,
+    MIN_SUCCESS_RATE,
+)
+from umberlead.net.node_pool import Pool
+from umberlead.net.node_protocol import OutgoingRequest
 
 LINK_TIMEOUT = 250_000
 
@@ -94,7 +101,7 @@
 
 
 def _attempt(dials: Dials, number: int = 0) -> Any:
-    ask = SimpleNamespace(payload=Outgoing(b"PUT", b"/w", []))
+    ask = SimpleNamespace(payload=OutgoingRequest(b"PUT", b"/w", []))
     return SimpleNamespace(
         node="n", number=number, once=True, again=False, astray=False, sent=dials.now, give_up=9_000_000,
         carried=None, ticket=SimpleNamespace(ask=ask, answered=False),
@@ -114,7 +121,7 @@
     async def test() -> None:
         dials = Dials(late)
         pool, ends, attempt = _pool(dials)
-        pool.late = 0.0  # no second dial beside it
+        pool.dialer.success_rate = 0.0  # no second dial beside it
         pool.start(attempt)
         await asyncio.sleep(0)
         if ended_by == "engine":
@@ -122,7 +129,7 @@
         else:
             dials.until(dials.now + 2 * LINK_TIMEOUT)
             assert ends.seen == [(0, Result.NO_LINK)]  # at the time-out, while its dial goes on
-            dials.until(dials.now + COMES_UP * LINK_TIMEOUT)
+            dials.until(dials.now + CONNECT_TIMEOUT_MULTIPLIER * LINK_TIMEOUT)
         await _turns()
         assert ends.seen == [(0, Result.NO_LINK)]
         assert not dials.wire.sent and dials.wire.aborted == late
@@ -157,7 +164,7 @@
     pool, ends, attempt = _pool(dials)
     pool.start(attempt)
     await _turns()
-    dials.until(dials.now + int(RACE * LINK_TIMEOUT) + 4000)
+    dials.until(dials.now + int(CONNECTION_ATTEMPT_DELAY * LINK_TIMEOUT) + 4000)
     await _turns()
     assert len(dials.conns) == 2 and not ends.seen
     return dials, pool, ends, attempt
@@ -165,7 +172,7 @@
 
 def _wire(pool: Pool, conn: Any) -> Wire:
     """Up, on a transport of its own whose peer says nothing."""
-    wire, conn.quiet = Wire(), lambda: True
+    wire, conn.has_no_unread_bytes = Wire(), lambda: True
     conn.connection_made(wire)
     return wire
 
@@ -184,7 +191,7 @@
         again = _attempt(dials, 1)
         pool.start(again)
         assert spare.sent and again.carried is other and len(dials.conns) == 2
-        dials.until(dials.now + (COMES_UP + 1) * LINK_TIMEOUT)
+        dials.until(dials.now + (CONNECT_TIMEOUT_MULTIPLIER + 1) * LINK_TIMEOUT)
         assert not ends.seen  # no time-out of a dial is left behind
         pool.close()
 
@@ -196,7 +203,7 @@
         dials, pool, ends, _ = await _raced()
         dials.until(dials.now + 2 * LINK_TIMEOUT)
         await _turns()
-        assert ends.seen == [(0, Result.NO_LINK)] and len(dials.conns) == 1 + RACERS
+        assert ends.seen == [(0, Result.NO_LINK)] and len(dials.conns) == 1 + MAX_PARALLEL_DIALS
         again = _attempt(dials, 1)
         pool.start(again)
         await _turns()
@@ -216,13 +223,13 @@
             await _turns()
             dials.until(dials.now + 2 * LINK_TIMEOUT)
             await _turns()
-        assert len(ends.seen) == 40 and pool.late < WORTH
+        assert len(ends.seen) == 40 and pool.dialer.success_rate < MIN_SUCCESS_RATE
         before = len(dials.conns)
         pool.start(_attempt(dials, 40))
         await _turns()
-        dials.until(dials.now + (COMES_UP + 1) * LINK_TIMEOUT)
+        dials.until(dials.now + (CONNECT_TIMEOUT_MULTIPLIER + 1) * LINK_TIMEOUT)
         await _turns()
-        assert len(dials.conns) == before + 1 and not len(pool.slots) and not pool.dials
+        assert len(dials.conns) == before + 1 and not len(pool.slots) and not pool.dialer.pending
         pool.close()
 
     asyncio.run(test())
@@ -231,8 +238,8 @@
 def test_dials_that_nobody_waits_for_make_room_at_the_cap() -> None:
     async def test() -> None:
         dials, pool, ends, _ = await _raced()
-        pool.most = 2  # all taken: one by the attempt, one by its racer
-        dials.until(dials.now + int(RACE * LINK_TIMEOUT) + 4000)
+        pool.max_connections = 2  # all taken: one by the attempt, one by its racer
+        dials.until(dials.now + int(CONNECTION_ATTEMPT_DELAY * LINK_TIMEOUT) + 4000)
         await _turns()
         assert len(dials.conns) == 2  # no race without room
         other = _attempt(dials, 0)
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -19,7 +19,7 @@
 from tests.helpers import T0, ask, end, feed, head, up
 from umberlead.core import interface as api
 from umberlead.front import Front
-from umberlead.net.attempts import NodeConnection
+from umberlead.net.node_connection import NodeConnection
 from umberlead.net.server_connection import ServerConnection
 from umberlead.net.socket_state import DISCONNECT_EVENTS
 
@@ -122,11 +122,11 @@
                     peer.transport.resume_reading()
             case ["partly"]:
                 front = await self._start()
-                await self._until(lambda: any(c._paused and not c.written for c in front.pool.slots))
+                await self._until(lambda: any(c.write_paused and not c.written for c in front.pool.slots))
             case [name, way, "as", node, "reads"]:
                 front, peer = await self._start(), self.nodes[node].peers[-1]
                 fd = peer.transport.get_extra_info("socket").fileno()
-                link, done = next(c for c in front.pool.slots if c._paused), asyncio.Event()
+                link, done = next(c for c in front.pool.slots if c.write_paused), asyncio.Event()
                 wire = cast(asyncio.Transport, link.transport)
                 with socket.socket(fileno=os.dup(fd)) as sock:
 
@@ -147,7 +147,7 @@
                     assert not link.written
                     asyncio.get_running_loop().call_later(0.002, both)
                     await done.wait()
-                    await self._until(lambda: link.over)
+                    await self._until(lambda: link.finished)
                     read(1 << 30)
                 head, _, body = peer.got.partition(b"\r\n\r\n")
                 assert len(body) < int(re.findall(rb"Content-Length: (\d+)", head)[0])
@@ -384,7 +384,7 @@
 # For each wait: what leads to it, how the client leaves and what lets an attempt begin, what follows. Where a
 # connection is kept the attempt is written with the decision.
 
-KEPT = "patch umberlead.net.attempts REST 0\nnode n0 0\n"
+KEPT = "patch umberlead.net.node_pool REUSE_DELAY_US 0\nnode n0 0\n"
 BUSY = (
     KEPT
     + "n0 next hold hold\nclient a platform\nclient b platform\nplain c platform\n"
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -26,9 +26,10 @@
 from tests.helpers import T0
 from umberlead import limits
 from umberlead.core.counters import Counters
-from umberlead.net.attempts import NodeConnection, Pool
 from umberlead.net.client_connections import Clients
 from umberlead.net.listener import ACCEPT_BATCH, Listener
+from umberlead.net.node_connection import NodeConnection
+from umberlead.net.node_pool import Pool
 from umberlead.net.server_connection import ServerConnection
 from umberlead.shared import Shared
 
@@ -210,8 +211,8 @@
     rest = [NodeConnection(pool, ("127.0.0.1", n)) for n in range(6)]
     for conn in rest:
         conn.slot, conn.transport = pool.slots.add(conn), mock.Mock()
-        pool.rest(conn)
-    pool.most = 4
+        pool.put_idle(conn)
+    pool.max_connections = 4
     pool.sweep()
     assert [conn.closed for conn in rest] == [True] * 2 + [False] * 4
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -10,7 +10,8 @@
 from umberlead.core.engine import Answer, Ask, Attempt, Engine, Kind
 from umberlead.core.interface import Effect, Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import NodeConnection, Outgoing
+from umberlead.net.node_connection import NodeConnection
+from umberlead.net.node_protocol import OutgoingRequest
 
 SETTINGS = api.Settings(
     classes=(
@@ -110,11 +111,11 @@
 
     def test_a_break_proves_that_nothing_ran_only_before_the_last_byte_is_handed_over(self) -> None:
         for steps, want in (("", Result.RESET), ("pause", Result.NO_LINK), ("pause resume", Result.RESET)):
-            transport, pool = mock.Mock(), mock.Mock(clock=lambda: 0, host=b"", held=0)
+            transport, pool = mock.Mock(), mock.Mock(clock=lambda: 0, host_line=b"", held_bytes=0)
             transport.is_closing.return_value = False
             conn = NodeConnection(pool, ("h", 1))
             conn.attempt = mock.Mock(give_up=0, sent=0)
-            conn.attempt.ticket.ask.payload = Outgoing(b"PUT", b"/x", [], b"body")
+            conn.attempt.ticket.ask.payload = OutgoingRequest(b"PUT", b"/x", [], b"body")
             transport.writelines.side_effect = lambda _, c=conn, s=steps: s and c.pause_writing()
             conn.connection_made(transport)
             if "resume" in steps:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,9 +14,16 @@
 from umberlead.core.engine import Attempt, Reply
 from umberlead.core.interface import Result
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import OLD, PAUSE, SLOW, STILL, NodeConnection, Outgoing
 from umberlead.net.client_connections import Clients
+from umberlead.net.node_connection import NodeConnection
+from umberlead.net.node_protocol import OutgoingRequest
 from umberlead.net.server_connection import ServerConnection
+from umberlead.net.streaming import (
+    SERVER_PAUSE_TIMEOUT_US,
+    SIZED_EVICTION_AGE_US,
+    STREAM_IDLE_TIMEOUT_US,
+    STREAMING_THRESHOLD_US,
+)
 from umberlead.net.timeouts import WRITE_STALL_TIMEOUT_US
 
 BODY = b"x" * 70_000
@@ -33,13 +40,14 @@
         self.client.connection_made(self._transport())
         self.client.data_received(b"GET /a HTTP/1.1\r\n\r\n")
         pool = mock.Mock(
-            held=0, memory=1 << 20, answer_most=1 << 20, head_most=4096, link_timeout=250_000,
+            held_bytes=0, memory_limit_bytes=1 << 20, max_reply_bytes=1 << 20, max_head_bytes=4096,
+            connect_timeout_us=250_000,
             wheel=self.wheel, clock=lambda: self.now, counters=self.counters,
         )  # fmt: skip
         pool.engine.ended = self._ended
         self.node = NodeConnection(pool, ("127.0.0.1", 1))
         self.node.transport, self.node.written = self._transport(), True
-        ask = mock.Mock(streams=True, payload=Outgoing(b"GET", b"/a", []))
+        ask = mock.Mock(streams=True, payload=OutgoingRequest(b"GET", b"/a", []))
         self.node.attempt = Attempt(mock.Mock(ask=ask, answered=False), 0, "n0", T0, T0 + 10**6)
 
     def _transport(self) -> Any:
@@ -53,6 +61,10 @@
         self.ended.append(result)
         self.client.relay(200, reply.length, reply.body, reply.rest, self.ended.append)
 
+    def _rank(self) -> tuple[bool, int] | None:
+        assert self.node.stream is not None
+        return self.node.stream.eviction_rank()
+
     def _out(self) -> bytes:
         transport: Any = self.client.transport
         calls = transport.method_calls
@@ -71,13 +83,13 @@
         head, _, body = self._out().partition(b"\r\n\r\n")
         self.assertEqual(head, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked")
         self.assertEqual(body, b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY))
-        self.assertIsNone(self.node.sink)
+        self.assertFalse(self.node.streaming)
 
     def test_one_of_no_told_length_that_comes_slowly_does_not_wait_for_64_kib(self) -> None:
         """Its first bytes are what is timed: waiting for so much took up to a second."""
         chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
         self.node.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
-        self.now += SLOW
+        self.now += STREAMING_THRESHOLD_US
         self.node.data_received(chunk)
         self.assertEqual(self.ended, [])
         self.now += 1000
@@ -91,7 +103,7 @@
         self.client.pause_writing()
         node.pause_reading.assert_called_once()
         for _ in range(5):
-            self.now += STILL - 1
+            self.now += STREAM_IDLE_TIMEOUT_US - 1
             self.client.transport.get_write_buffer_size.return_value -= 1  # type: ignore[attr-defined]
             self.wheel.turn()
             self.clients.sweep()
@@ -110,7 +122,7 @@
         self.clients.sweep()
         transport.abort.assert_called_once()
         self.client.resume_writing()
-        self.now += STILL + 1000
+        self.now += STREAM_IDLE_TIMEOUT_US + 1000
         self.wheel.turn()
         self.assertEqual(self.ended, [Result.OK, False])
 
@@ -118,23 +130,23 @@
         """Its client waits for its last byte: one that stopped ends within half a second of that time."""
         chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
         self.node.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
-        for self.now in (T0 + SLOW + 1000, T0 + 10**6 - 1000):
+        for self.now in (T0 + STREAMING_THRESHOLD_US + 1000, T0 + 10**6 - 1000):
             self.node.data_received(chunk)
         for _ in range(3):
-            self.now += PAUSE - 1000
+            self.now += SERVER_PAUSE_TIMEOUT_US - 1000
             self.wheel.turn()
             self.assertEqual(self.ended, [Result.OK])
             self.node.data_received(chunk)
-        self.now += PAUSE + 1000
+        self.now += SERVER_PAUSE_TIMEOUT_US + 1000
         self.wheel.turn()
         self.assertEqual(self.ended, [Result.OK, False])
 
     def test_one_of_a_told_length_gives_its_place_up_last(self) -> None:
         self.node.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n" + BODY)
-        self.now = T0 + 10**6 + OLD - 1
-        self.assertIsNone(self.node.overdue())
+        self.now = T0 + 10**6 + SIZED_EVICTION_AGE_US - 1
+        self.assertIsNone(self._rank())
         self.now += 1
-        rank = self.node.overdue()
+        rank = self._rank()
         assert rank == (True, T0 + 10**6) and (False, self.now) < rank
 
 
@@ -171,7 +183,7 @@
             case ["places", which, number]:
                 front = await self._start()
                 of: Any = front.pool if which == "nodes" else front.groups[0]
-                setattr(of, "most" if which == "nodes" else "max_connections", int(number))
+                of.max_connections = int(number)
             case ["over"]:
                 front, self.front = await self._start(), None
                 front.end()
@@ -244,7 +256,7 @@
 
 @pytest.mark.parametrize("way", ["chunked", "bare"])
 def test_one_that_comes_in_small_pieces_does_too(way: str) -> None:
-    play(servers(1), begun("a", 0, way, 1000), WELL.format("b"), f"clock {SLOW + 1000}\n",
+    play(servers(1), begun("a", 0, way, 1000), WELL.format("b"), f"clock {STREAMING_THRESHOLD_US + 1000}\n",
          piece(0, way, 1000, 2000), "a has 2000\n",
          f"clock {TIME - 100_000}\n", piece(0, way, 2000, 3000), "a has 3000\n",
          "clock 100000\n", piece(0, way, 3000, 4000), ended(0, way), "a whole 4000\n")  # fmt: skip
@@ -257,7 +269,7 @@
 
 @pytest.mark.parametrize("way", ["chunked", "bare"])
 def test_one_that_floods_ends_at_the_size_that_the_protocol_has(way: str) -> None:
-    play("patch umberlead.net.attempts LONG_MOST 100000\n", servers(1), begun("a", 0, way),
+    play("patch umberlead.net.streaming MAX_STREAM_BYTES 100000\n", servers(1), begun("a", 0, way),
          "a has 70000\n",
          piece(0, way, 70_000, 100_000), "a has 100000\ncounter node_answers_broke_off 0\n",
          piece(0, way, 100_000, 120_000), "a cut\ncounter node_answers_broke_off 1\n")  # fmt: skip
--- a/tests/test_long_crossings.py
+++ b/tests/test_long_crossings.py
@@ -39,7 +39,10 @@
                 self.peers[name].transport.pause_reading()
             case ["holds", number]:
                 pool = (await self._start()).pool
-                await self._until(lambda: sum(conn._held for conn in pool.slots) == int(number))
+                await self._until(
+                    lambda: sum(conn.stream is not None and conn.stream.paused for conn in pool.slots)
+                    == int(number)
+                )
             case [name, "half", "read"]:
                 conn = await self._known(name)
                 await self._until(lambda: conn.partial_request is not None)
--- a/tests/test_standing_fleet.py
+++ b/tests/test_standing_fleet.py
@@ -17,7 +17,8 @@
 from umberlead.core.engine import Ask, Engine
 from umberlead.core.interface import NodeList
 from umberlead.core.wheel import Wheel
-from umberlead.net.attempts import Outgoing, Pool
+from umberlead.net.node_pool import Pool
+from umberlead.net.node_protocol import OutgoingRequest
 
 FRONTS = 24
 
@@ -98,7 +99,7 @@
             engine.listed(NodeList(False, tuple(up(name) for name in names)))
 
     def ask(self, engine: Engine, name: str) -> None:
-        payload = Outgoing(b"GET", b"/read", [])
+        payload = OutgoingRequest(b"GET", b"/read", [])
         engine.take(
             Ask("read", "gold", "v", None, 0, 2.0, self.dials.now + 2_000_000, payload, name=name.encode()),
             self.answers.append,
@@ -109,7 +110,7 @@
         made = 0
         for conn in self.dials.conns:
             if conn.transport is None and not conn.closed:
-                made, conn.quiet = made + 1, lambda: True
+                made, conn.has_no_unread_bytes = made + 1, lambda: True
                 conn.connection_made(Wire())
         return made
 
--- a/tests/test_standing_requests.py
+++ b/tests/test_standing_requests.py
@@ -11,7 +11,7 @@
 from tests.test_client_leaves import DONE, asks, block
 from tests.test_crossings import well
 from tests.test_standing import Standing, play
-from umberlead.net.attempts import NodeConnection
+from umberlead.net.node_connection import NodeConnection
 
 # Requests in pieces
 
@@ -69,7 +69,8 @@
         "| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n", "| GET {{target}} HTTP/1.1\n| Host: {{~}}\n"
     )
     play(
-        "patch umberlead.net.attempts REST 0\nnode n0 0:script\nclient a platform\nclient b platform\n",
+        "patch umberlead.net.node_pool REUSE_DELAY_US 0\n",
+        "node n0 0:script\nclient a platform\nclient b platform\n",
         *(ask.format(n) + well("b") for n in (1, 2, 3)),
         got.format(1, "4.9"),
         "clock 2000000\n",
@@ -88,7 +89,7 @@
 
     full = "n0 >\n| HTTP/1.1 503 -\n| X-Rejected: 1\n| Content-Length: 0\n|\n"
     play(
-        "patch umberlead.net.attempts REST 0\nnode n0 0:script\nclient a platform\n",
+        "patch umberlead.net.node_pool REUSE_DELAY_US 0\nnode n0 0:script\nclient a platform\n",
         "a >\n| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n& ask a1 / 0\n| X-Budget: 6\n|\n",
         asked("5.9"),
         "clock 1500000\n",
@@ -168,13 +169,13 @@
             if words != ["half", "line"]:
                 return await super()._step(words, lines)
             front, peer = await self._start(), await self.nodes["n0"].peer()
-            kept = front.pool._kept
+            kept = front.pool._take_idle
 
             def crossed(*how: Any) -> NodeConnection | None:
                 peer.transport.write(b"HTTP/1.1 2")
                 return kept(*how)
 
-            self.patches.enter_context(mock.patch.object(front.pool, "_kept", crossed))
+            self.patches.enter_context(mock.patch.object(front.pool, "_take_idle", crossed))
 
     Crossing(
         "node n0 0:script\nclient a platform\na >\n& read a1 / 0\nn0 <\n& got a1 / 0\nn0 >\n& x\na <\n& x\n"
--- a/umberlead/expect/world.py
+++ b/umberlead/expect/world.py
@@ -2,8 +2,8 @@
 their logic; the clock, the loop and the carrier are this file's.
 
 A server has two cores, works on a unit for `UNIT`, and answers in turn of arrival. What an attempt's end
-proves follows the platform's protocol, as `net/attempts.py` has it: refused links and full queues never
-ran."""
+proves follows the platform's protocol, as `net/node_connection.py` has it: refused links and full queues
+never ran."""
 
 import random
 from collections import deque
@@ -65,7 +65,7 @@
         )  # fmt: skip
         self.engine.carrier = self
         self.addresses: dict[str, Any] = {}  # as a pool has them
-        self.live: set[Any] | None = None
+        self.node_counts: set[Any] | None = None
         self.models: dict[str, Modelled] = {}
         self.names: dict[str, str] = {}  # of ids
         self.lives: list[Life] = []
@@ -95,7 +95,7 @@
         for member in change.came:
             self.names[member.id] = member.server.name
 
-    def left(self, addresses: set[Any]) -> None:
+    def close_unlisted(self, addresses: set[Any]) -> None:
         """A pool would close its idle connections."""
 
     def relist(self, servers: dict[str, Server]) -> None:
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -20,10 +20,10 @@
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
 from umberlead.limits import BODY_MOST, Reserve, deal, granted, held, to_come
-from umberlead.net.attempts import IDLE_PART, Pool
 from umberlead.net.client_connections import Clients
 from umberlead.net.discovery import Watch
 from umberlead.net.listener import Listener
+from umberlead.net.node_pool import IDLE_KEEPALIVE_FRACTION, Pool
 from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
 from umberlead.shared import Shared
@@ -141,9 +141,10 @@
         # Two processes of a front have one front's limits between them.
         sockets, memory = granted(conf.sockets) // self.processes, conf.memory // self.processes
         of = deal(sockets, memory, *self.held, max(len(self.groups), 1))
-        self.pool.most, self.pool.memory, self.pool.head_most = of.nodes, of.answers, of.head
-        self.pool.answer_most = of.answer
-        self.pool.idle_time = int(conf.keepalive * IDLE_PART)
+        pool = self.pool
+        pool.max_connections, pool.memory_limit_bytes = of.nodes, of.answers
+        pool.max_head_bytes, pool.max_reply_bytes = of.head, of.answer
+        pool.idle_timeout_us = int(conf.keepalive * IDLE_KEEPALIVE_FRACTION)
         self.engine.names_most, self.syslog.most = of.names, of.lines
         for group in self.groups:
             group.max_connections, group.idle_timeout_us = of.clients, conf.client_idle
@@ -248,7 +249,7 @@
             return
         for handler, group, address in ready:
             self.listen(handler, group, address)
-        dealt = {"descriptors": granted(conf.sockets), "nodes": self.pool.most}
+        dealt = {"descriptors": granted(conf.sockets), "nodes": self.pool.max_connections}
         dealt["clients"] = sum(group.max_connections for group in self.groups)
         self.log.info("limits", cores=conf.cores, memory_mb=conf.memory >> 20, **dealt)
         self.sweep()
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -21,9 +21,9 @@
 from umberlead.fronts.ledger import Ledger, Part, State, Upload, doubtful
 from umberlead.fronts.s3 import S3Error
 from umberlead.limits import BODY_MOST
-from umberlead.net.attempts import Outgoing
 from umberlead.net.client_connections import Clients
 from umberlead.net.http_message import Message
+from umberlead.net.node_protocol import OutgoingRequest
 from umberlead.net.server_connection import ServerConnection
 
 KEY_MOST = 1024  # bytes
@@ -287,7 +287,7 @@
         units = min(max(math.ceil(size / self.conf.unit_bytes), 1), int(most) or 1)
         hosts = self.engine.settings.heads
         self.count += 1
-        out = Outgoing(
+        out = OutgoingRequest(
             b"GET" if body is None else b"PUT",
             f"/{quote(op.class_name)}?block={block}".encode(),
             [
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -7,9 +7,10 @@
 from urllib.parse import unquote_to_bytes
 
 from umberlead.core.engine import Answer, Ask, Duplicate, Engine, Kind, Ticket
-from umberlead.net.attempts import LONG_MOST, Outgoing
 from umberlead.net.http_message import Message
+from umberlead.net.node_protocol import OutgoingRequest
 from umberlead.net.server_connection import ServerConnection
+from umberlead.net.streaming import MAX_STREAM_BYTES
 
 PASSED_ON = ((b"x-call-id", b"X-Call-Id: "), (b"x-plan", b"X-Plan: "), (b"x-io", b"X-IO: "))
 LONGER = 1.25  # most that a budget may be of its class's deadline, the longest that its clients wait
@@ -71,7 +72,7 @@
     if message.body and message.method == b"GET":
         raise BadRequest("a read has no body")
     passed = [name + got[key] for key, name in PASSED_ON if key in got]
-    out = Outgoing(message.method, message.target, passed, message.body)
+    out = OutgoingRequest(message.method, message.target, passed, message.body)
     # The budget counts from the client's sending: the margin is for the way here and back.
     give_up = message.received + max(int(budget * 1e6) - margin, 0)
     return Ask(
@@ -90,7 +91,7 @@
 class PlatformFront:
     """Translates, and decides nothing."""
 
-    max_body_bytes = LONG_MOST
+    max_body_bytes = MAX_STREAM_BYTES
     sends_date = False  # the platform asks for no header
     singleton_headers = frozenset((b"x-call-id", b"x-plan", b"x-io", b"x-budget", b"x-again"))
     allows_slow_bodies = False
--- a/umberlead/membership/joining.py
+++ b/umberlead/membership/joining.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from umberlead.core.engine import Engine
-    from umberlead.net.attempts import Pool
+    from umberlead.net.node_pool import Pool
 
 
 class Parts(Protocol):
@@ -50,9 +50,9 @@
     so that a server out by hand is out when it comes in."""
     for node, out, at in change.marks:
         engine.by_hand(node, out, at)
-    if pool.live is None:
-        pool.live = {}
-    live, left, gone = pool.live, set[config.Address](), {m.id for m in change.went}
+    if pool.node_counts is None:
+        pool.node_counts = {}
+    live, left, gone = pool.node_counts, set[config.Address](), {m.id for m in change.went}
     moves: list[tuple[str, config.Address | None]] = [(m.id, None) for m in change.went]
     moves += [(m.id, m.server.address) for m in (*change.came, *(after for _, after in change.changed))]
     for node, new in moves:  # counted, not gathered anew: a turn costs what changed, not the list's length
@@ -68,7 +68,7 @@
     left = {address for address in left if live[address] <= 0}
     for address in left:
         del live[address]
-    pool.left(left)
+    pool.close_unlisted(left)
     nodes = [node_of(m, NodeState.GONE) for m in change.went]
     nodes += [node_of(m) for m in (*(after for _, after in change.changed), *change.came)]
     if nodes:
--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -195,14 +195,14 @@
         overdue = [
             (rank, conn.slot, conn, conn.source)
             for conn in self.slots
-            if conn.source and (rank := conn.source.overdue()) is not None
+            if conn.source and (rank := conn.source.eviction_rank()) is not None
         ]
         if not overdue:
             return False
         _, _, victim, source = min(overdue)
         self._mark_evicted(victim)
         victim.ended = True
-        source.give_way()
+        source.evict()
         return True
 
     def _mark_evicted(self, victim: ClientConnection) -> None:
--- /dev/null
+++ b/umberlead/net/node_protocol.py
@@ -0,0 +1,77 @@
+"""What goes to a chunk server and what its reply says, beside how HTTP frames them."""
+
+import re
+from dataclasses import dataclass, field
+
+from umberlead.core.engine import Reply
+from umberlead.core.interface import Result
+
+FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+MAX_LOAD_FIELDS = 16  # values of a load report
+NO_BODY_METHOD = b"GET"
+
+
+@dataclass(slots=True)
+class OutgoingRequest:
+    """What a front hands down with a request, as it goes to a chunk server.
+
+    Attributes:
+        method: the HTTP method.
+        target: the request target.
+        headers: whole header lines, without line ends.
+        body: the body.
+        served: the statuses of replies that serve the request.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[bytes]
+    body: bytes | bytearray = b""
+    served: frozenset[int] = field(default=frozenset((200,)))
+
+
+def encode_request(request: OutgoingRequest, host_line: bytes, budget_us: int) -> list[bytes]:
+    """Return the pieces of a request; `budget_us` is the time that is left to it."""
+    parts = [request.method, b" ", request.target, b" HTTP/1.1\r\n", host_line]
+    for line in request.headers:
+        parts += (line, b"\r\n")
+    parts.append(b"X-Budget: %.3f\r\n" % (max(budget_us, 0) / 1e6))
+    if request.body or request.method != NO_BODY_METHOD:
+        parts.append(b"Content-Length: %d\r\n" % len(request.body))
+    parts += (b"\r\n", request.body)
+    return parts
+
+
+def decode_reply(status: int, headers: dict[bytes, bytes], body: bytes) -> Reply:
+    """Read a reply's own header fields; figures are optional, and left out where they can't be read."""
+    return Reply(
+        status, body, _load_report(headers.get(b"x-load-report", b"")),
+        _figure(headers.get(b"x-volume-use"), -1) + 1,  # the header leaves out the simulator's 1
+        _figure(headers.get(b"x-served-elsewhere"), 0),
+    )  # fmt: skip
+
+
+def result_of_reply(request: OutgoingRequest, status: int, headers: dict[bytes, bytes]) -> Result:
+    """Return what a whole reply means for its attempt.
+
+    MOOT stands for a request that was not for this chunk server, or not any more: no news of its health.
+    """
+    if status in request.served:
+        return Result.OK
+    rejected = headers.get(b"x-rejected") == b"1"
+    if status == 504 and rejected:
+        return Result.MOOT
+    return Result.FULL if status == 503 and rejected else Result.ERROR
+
+
+def _figure(value: bytes | None, default: int) -> int:
+    return int(float(value)) if value is not None and FIGURE.fullmatch(value) else default
+
+
+def _load_report(text: bytes) -> dict[str, float]:
+    load = {}
+    for pair in text.split(b",", MAX_LOAD_FIELDS)[:MAX_LOAD_FIELDS]:
+        name, _, value = pair.partition(b"=")
+        if FIGURE.fullmatch(value.strip()):
+            load[name.strip().decode("latin-1")] = float(value)
+    return load
--- /dev/null
+++ b/umberlead/net/pool_interface.py
@@ -0,0 +1,61 @@
+"""What connections to chunk servers need of the pool that they belong to."""
+
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
+
+from umberlead.config import Address
+from umberlead.core.counters import Counters
+from umberlead.core.engine import Attempt, Engine, Ticket
+from umberlead.core.wheel import Wheel
+
+ConnectionT = TypeVar("ConnectionT", contravariant=True)
+
+
+class ConnectionPool(Protocol[ConnectionT]):
+    """What a connection needs of its pool; `node_pool.Pool` has it.
+
+    Attributes:
+        host_line: the Host field of each request, with its line end.
+        connect_timeout_us: how long a connection may take to come up, and a reply may stop.
+        held_bytes: what replies that are being read hold, of `memory_limit_bytes`.
+        max_reply_bytes: how long a reply may be that is kept until it is whole.
+        max_head_bytes: how long the head of a reply may be.
+    """
+
+    engine: Engine
+    clock: Callable[[], int]
+    wheel: Wheel
+    counters: Counters
+    log: Callable[..., Any]
+    host_line: bytes
+    connect_timeout_us: int
+    held_bytes: int
+    memory_limit_bytes: int
+    max_reply_bytes: int
+    max_head_bytes: int
+
+    @property
+    def takes_new(self) -> Callable[[str], bool]:
+        """Tells whether a node takes new requests, by the list as it stands."""
+
+    @property
+    def client_waits(self) -> Callable[[Ticket], bool]:
+        """Tells whether a request's client is there still."""
+
+    def came_up(self, conn: ConnectionT) -> None:
+        """A dial has come up."""
+
+    def put_unused(self, conn: ConnectionT) -> None:
+        """Keep a connection that came up and that nobody waits for."""
+
+    def put_idle(self, conn: ConnectionT) -> None:
+        """Keep a connection behind its reply."""
+
+    def remove(self, conn: ConnectionT) -> None:
+        """Forget a connection that has ended."""
+
+    def record_reuse(self, conn: ConnectionT, reset: bool) -> None:
+        """Learn whether a kept connection broke under a request."""
+
+    def redial(self, attempt: Attempt, address: Address) -> None:
+        """Connect once more for an attempt of which nothing was sent."""
--- a/umberlead/net/relay.py
+++ b/umberlead/net/relay.py
@@ -16,16 +16,16 @@
 
     sink: Any
 
-    def hold(self, stop: bool) -> None:
+    def set_paused(self, paused: bool) -> None:
         """Stop reading, or read on."""
 
-    def abandon(self) -> None:
+    def cancel(self) -> None:
         """End it: its reader has left."""
 
-    def overdue(self) -> Any:
+    def eviction_rank(self) -> Any:
         """Return its place in the order of eviction, the smallest first; None keeps it."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End it for another's need of its place."""
 
 
@@ -64,12 +64,12 @@
             return ()
         return (b"%x\r\n" % len(data), data, b"\r\n") if self._chunked else (data,)
 
-    def more(self, piece: bytes) -> None:
+    def write(self, piece: bytes) -> None:
         """Pass a piece of the body on."""
         if not self._connection.closed:
             self._connection.transport.writelines(self.encode(piece))
 
-    def whole(self) -> None:
+    def finish(self) -> None:
         """End the reply: all of the body has come."""
         connection = self._connection
         connection.source = None
@@ -78,7 +78,7 @@
             connection.transport.write(b"0\r\n\r\n")
         connection.finish_response()
 
-    def broke(self) -> None:
+    def abort(self) -> None:
         """Break the reply off, since its rest will not come.
 
         The client sees it: the reply ends short of its length, or of its last chunk; where it would end with
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -82,7 +82,7 @@
         self._rejection = None
         self._pending.discard()
         if self.source is not None:
-            self.source.abandon()
+            self.source.cancel()
             self.source = None
         if self.current is not None:
             self._pending.release(self.current)
@@ -138,14 +138,14 @@
         self._unsent_bytes, self._unsent_since_us = 0, self.clients.clock()
         self.clients.held_bytes += self._blocked_bytes
         if self.source is not None:
-            self.source.hold(True)
+            self.source.set_paused(True)
 
     def resume_writing(self) -> None:
         """Go on: the client has read all."""
         self.clients.held_bytes -= self._blocked_bytes
         self.write_blocked, self._blocked_bytes = False, 0
         if self.source is not None:
-            self.source.hold(False)
+            self.source.set_paused(False)
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._start_next_request()
--- a/umberlead/net/socket_state.py
+++ b/umberlead/net/socket_state.py
@@ -1,10 +1,13 @@
 """What the operating system holds of a connection, asked for now: uvloop tells of it a turn later."""
 
 import asyncio
+import contextlib
 import fcntl
 import select
+import socket
 import sys
 import termios
+from collections.abc import Iterator
 
 # The peer ended its sending, closed or reset the connection.
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -41,3 +44,33 @@
             queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
             unsent += int.from_bytes(queued, sys.byteorder)
         return unsent
+
+    def was_reset(self) -> bool:
+        """Tell a reset from an end: libuv reports an end where a reset came with the last bytes."""
+        with self._duplicate() as sock:
+            try:
+                sock.recv(1, socket.MSG_DONTWAIT)
+            except ConnectionResetError:
+                return True
+            except OSError:
+                pass
+        return False
+
+    def stop_sending(self) -> None:
+        """Keep the rest of what is partly written from following.
+
+        uvloop closes an aborted connection a turn later, and may find room for all of it in between. It would
+        run, and count as proven not to have.
+        """
+        with self._duplicate() as sock, contextlib.suppress(OSError):  # it has ended already
+            sock.shutdown(socket.SHUT_WR)
+
+    @contextlib.contextmanager
+    def _duplicate(self) -> Iterator[socket.socket]:
+        """Within, the socket can be used past the transport; it takes no descriptor more."""
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
+        try:
+            yield sock
+        finally:
+            sock.detach()
