--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -7,7 +7,7 @@
 from tests import planted
 
 CLIENTS, SERVER = "umberlead/net/client_connections.py", "umberlead/net/server_connection.py"
-RELAY, ENGINE, DECIDE = "umberlead/net/relay.py", "umberlead/core/engine.py", "umberlead/core/decide.py"
+ENGINE, DECIDE = "umberlead/core/engine.py", "umberlead/core/decide.py"
 NODE, PARSER = "umberlead/net/node_connection.py", "umberlead/net/reply_parser.py"
 STREAM, POOL = "umberlead/net/streaming.py", "umberlead/net/node_pool.py"
 WATCH, FRONT = "umberlead/net/discovery.py", "umberlead/front.py"
@@ -20,6 +20,7 @@
     "tests/test_crossings.py",
     "tests/test_discovery.py",
     "tests/test_long.py",
+    "tests/test_long_crossings.py",
     "tests/test_volumes.py",
 )
 planted.PLANTED = (  # type: ignore[assignment]
@@ -68,8 +69,14 @@
     ("long answers: none gives way at nodes", POOL, "            min(overdue)[2].evict()\n", "            return False\n"),
     ("long answers: a lower cap ends all connections at rest", POOL, "        for _ in range(excess):  # the cap came down; their places are free a turn later\n", "        while len(self.slots) > self.max_connections:\n"),
     ("long answers: none gives its client's place", CLIENTS, "        if not overdue:\n            return False\n", "        return False\n"),
-    ("long answers: to a client of HTTP/1.0 one that broke off looks whole", RELAY, "if not (self._chunked or connection.length or transport.is_closing()):", "if False:"),
+    ("long answers: to a client of HTTP/1.0 one that broke off looks whole", SERVER, "if not (self.chunked or self.length or self.transport.is_closing()):", "if False:"),
     ("long answers: a write's is cut off where its server pauses", NODE, "wait_us = max(wait_us, SERVER_PAUSE_TIMEOUT_US)", "pass"),
+    ("long answers: a read's last try is cut off where its server pauses", ENGINE, "once = last or ", "once = "),
+    ("long answers: a server may pause for half a second only", STREAM, "SERVER_PAUSE_TIMEOUT_US = 650_000", "SERVER_PAUSE_TIMEOUT_US = 500_000"),
+    ("long answers: to a client of HTTP/1.0 one unread at the end looks whole", FRONT, "        for clients in self.groups:\n            clients.close()\n", ""),
+    ("uploads: what is half read is closed on as its place goes", SERVER, "        if self._parser.message is not None and not self.ended:\n            self.refuse(503, \"too many connections\")\n", ""),
+    ("uploads: the end that is here as its time is over is not read", SERVER, "if self.has_unread_request() and not self._overtime:", "if False:"),
+    ("uploads: one that trickles never ends", SERVER, "if self.has_unread_request() and not self._overtime:", "if self.has_unread_request():"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.close_after_reply = self.processes > 1", "clients.close_after_reply = False"),
     ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -56,6 +56,9 @@
     def shut_down(self) -> None:
         """Refuse a request that is half read, or close it where it has none."""
 
+    def break_off(self) -> None:
+        """End it in the middle of a reply."""
+
     def abort_evicted(self) -> None:
         """End it for another's need of its place; a request that is half read is refused first."""
 
@@ -161,6 +164,12 @@
         for conn in self.slots:
             conn.shut_down()
 
+    def close(self) -> None:
+        """Break off replies that are not read by now: the process ends, and clients see it at once."""
+        for conn in self.slots:
+            if conn.write_blocked:
+                conn.break_off()
+
     def evictable(self) -> Iterator[ClientConnection]:
         """Iterate over the connections that can be evicted, the first to go first.
 
--- a/umberlead/net/connection_state.py
+++ b/umberlead/net/connection_state.py
@@ -32,6 +32,7 @@
         rejected_target: the target of what was refused unread.
         status: the HTTP status of the latest reply.
         length: the body's length in the latest reply.
+        chunked: the latest long reply goes in chunks.
         source: where the rest of a long reply comes from, while it is on its way.
     """
 
@@ -51,6 +52,7 @@
         self.context: Any = None
         self.rejected_target = b""
         self.status = self.length = 0
+        self.chunked = False
         self.source: BodySource | None = None
         self.write_blocked = False
         self._pending = PendingInput(clients)
--- a/umberlead/net/relay.py
+++ b/umberlead/net/relay.py
@@ -1,15 +1,11 @@
 """Passing a long reply on to a client as it comes from a chunk server."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from umberlead.net.http_message import Message
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time: the close is a reset
-
 
 class BodySource(Protocol):
     """Where the rest of a long reply comes from."""
@@ -34,9 +30,11 @@
 
     transport: asyncio.Transport
     closed: bool
-    length: int
     source: BodySource | None
 
+    def break_off(self) -> None:
+        """End it in the middle of a reply."""
+
     def finish_response(self) -> None:
         """The reply is out: the next request's turn."""
 
@@ -79,15 +77,7 @@
         connection.finish_response()
 
     def abort(self) -> None:
-        """Break the reply off, since its rest will not come.
-
-        The client sees it: the reply ends short of its length, or of its last chunk; where it would end with
-        its connection, that is reset.
-        """
-        connection, transport = self._connection, self._connection.transport
-        connection.source = None
+        """Break the reply off, since its rest will not come."""
+        self._connection.source = None
         self._on_end(False)
-        if not (self._chunked or connection.length or transport.is_closing()):
-            sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
+        self._connection.break_off()
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -49,6 +49,7 @@
         super().__init__(clients)
         self.handler = handler
         self._parser = RequestParser(self, handler, clients)
+        self._overtime = False  # its time was over as something of its request was here unread
         self._ignored_bytes = 0  # read after the end
         self._blocked_bytes = 0  # of a reply that the client has not read
         self._writable: asyncio.Future[None] | None = None
@@ -162,6 +163,7 @@
 
     def request_begun(self) -> None:
         """Begin a request's time; the first one's runs from the connecting."""
+        self._overtime = False
         if self.current is None and self.served:
             self.state_since_us = self.clients.clock()
 
@@ -284,10 +286,10 @@
             source: gives the rest to its sink, and is held back where the client does not read.
             done: is told whether all of it is out, unless the client leaves.
         """
-        chunked = Relay.uses_chunks(length, self.current)
-        self.close_after_reply |= length is None and not chunked
-        coding = (b"Transfer-Encoding: chunked",) if chunked else ()
-        relay = Relay(self, chunked, done)
+        self.chunked = Relay.uses_chunks(length, self.current)
+        self.close_after_reply |= length is None and not self.chunked
+        coding = (b"Transfer-Encoding: chunked",) if self.chunked else ()
+        relay = Relay(self, self.chunked, done)
         self.source, source.sink = source, relay
         self.transport.writelines([*self.response_head(status, coding, length), *relay.encode(first)])
 
@@ -338,6 +340,16 @@
         else:
             self.close_if_idle()
 
+    def break_off(self) -> None:
+        """End it in the middle of a reply.
+
+        The client sees it: the reply ends short of its length, or of its last chunk; where it would end with
+        its connection, that is reset.
+        """
+        if not (self.chunked or self.length or self.transport.is_closing()):
+            self._socket.reset_on_close()
+        self.transport.abort()
+
     def abort_evicted(self) -> None:
         """End it for another's need of its place.
 
@@ -351,6 +363,9 @@
     def on_timeout(self) -> None:
         """End it: it stayed in its state for too long."""
         if self._parser.message is not None and not self.ended:
+            if self.has_unread_request() and not self._overtime:  # its end may be here: once, or a trickle
+                self._overtime = True  # would never end
+                return
             self.refuse(408, "the request did not come whole in time")
         elif self.ended or not self.has_unread_request():
             self.transport.abort()  # a plain close waits for a client that may never read
--- a/umberlead/net/socket_state.py
+++ b/umberlead/net/socket_state.py
@@ -5,6 +5,7 @@
 import fcntl
 import select
 import socket
+import struct
 import sys
 import termios
 from collections.abc import Iterator
@@ -12,6 +13,8 @@
 # The peer ended its sending, closed or reset the connection.
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time
+
 
 class SocketState:
     """Looks at the socket of one transport."""
@@ -45,6 +48,11 @@
             unsent += int.from_bytes(queued, sys.byteorder)
         return unsent
 
+    def reset_on_close(self) -> None:
+        """Make the close of the connection a reset."""
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def was_reset(self) -> bool:
         """Tell a reset from an end: libuv reports an end where a reset came with the last bytes."""
         with self._duplicate() as sock:
--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -9,7 +9,7 @@
 from umberlead.limits import BODY_MOST
 
 STREAM_IDLE_TIMEOUT_US = 10_000_000  # in which a long reply must move on
-SERVER_PAUSE_TIMEOUT_US = 500_000  # that a server may stop within a reply that it is still giving
+SERVER_PAUSE_TIMEOUT_US = 650_000  # that a server may stop within a reply that it is still giving
 # Past its request's time a long reply can be evicted where places are short: one of no told length may never
 # end; one of a told length has an end, however slow.
 UNSIZED_EVICTION_AGE_US, SIZED_EVICTION_AGE_US = 10_000_000, 60_000_000
