--- a/tests/test_long_crossings.py
+++ b/tests/test_long_crossings.py
@@ -10,9 +10,14 @@
 
 from tests.exchange import PATIENCE, Peer
 from tests.test_long import ASKS, HEADS, SERVED, TIME, WELL, Long, begun, ended, piece, servers
-from umberlead.net.attempts import LATE, PAUSE, SLOW, STILL
 from umberlead.net.client_connections import ACCEPT_GRACE_US
 from umberlead.net.server_connection import ServerConnection
+from umberlead.net.streaming import (
+    SERVER_PAUSE_TIMEOUT_US,
+    STREAM_IDLE_TIMEOUT_US,
+    STREAMING_THRESHOLD_US,
+    UNSIZED_EVICTION_AGE_US,
+)
 from umberlead.net.timeouts import LINGER_TIMEOUT_US, WRITE_STALL_TIMEOUT_US
 
 SMALL_BUFFER = 4096  # bytes of a socket's buffer, both ways, to a client that reads slowly
@@ -44,7 +49,10 @@
                 await self._reads_a_reset(name)
             case ["holds", number]:
                 pool = (await self._start()).pool
-                await self._until(lambda: sum(conn._held for conn in pool.slots) == int(number))
+                await self._until(
+                    lambda: sum(conn.stream is not None and conn.stream.paused for conn in pool.slots)
+                    == int(number)
+                )
             case [name, "half", "read"]:
                 conn = await self._known(name)
                 await self._until(lambda: conn.partial_request is not None)
@@ -281,8 +289,9 @@
 def small(way: str, at: int) -> str:
     """A long answer of no told length with 3,000 bytes given, the last at that us from its request's time."""
     return (
-        servers(1) + begun("a", 0, way, 1000) + WELL.format("b") + f"clock {SLOW + 1000}\n"
-        + piece(0, way, 1000, 2000) + f"a has 2000\nclock {TIME - 15_000 - SLOW - 1000 + at}\n"
+        servers(1) + begun("a", 0, way, 1000) + WELL.format("b") + f"clock {STREAMING_THRESHOLD_US + 1000}\n"
+        + piece(0, way, 1000, 2000)
+        + f"a has 2000\nclock {TIME - 15_000 - STREAMING_THRESHOLD_US - 1000 + at}\n"
         + piece(0, way, 2000, 3000) + "a has 3000\n"
     )  # fmt: skip
 
@@ -303,7 +312,7 @@
 
 @pytest.mark.parametrize("at", [-2_000_000, -600_000, -160_000])
 def test_one_that_stopped_ends_at_its_request_s_time_or_once_no_pause_is_so_long(at: int) -> None:
-    left = max(PAUSE, -at)
+    left = max(SERVER_PAUSE_TIMEOUT_US, -at)
     play(small("chunked", at), f"clock {left - 100_000}\n", WELL.format("c"),
          "counter node_answers_broke_off 0\n", "clock 150000\na cut\n")  # fmt: skip
 
@@ -320,14 +329,15 @@
 def test_a_reader_that_rests_past_its_request_s_time_gets_all(way: str) -> None:
     """What it rests is not the server's: neither its silence nor its place are counted meanwhile."""
     play(slowly(way), "holds 1\n", "clock 9000000\n" * 3, WELL.format("b"), "a reads\na has 70000\nholds 0\n",
-         f"clock {STILL - 1_000_000}\n", piece(0, way, 70_000, 120_000), ended(0, way),
+         f"clock {STREAM_IDLE_TIMEOUT_US - 1_000_000}\n", piece(0, way, 70_000, 120_000), ended(0, way),
          "a whole 120000\ncounter node_answers_broke_off 0\n")  # fmt: skip
 
 
 @pytest.mark.parametrize("way", ["chunked", "bare"])
 def test_a_small_one_s_server_may_pause_as_its_reader_goes_on(way: str) -> None:
     """Held back from before its request's time to past it: that time is the later by so much."""
-    play(slowly(way, 30_000), WELL.format("b"), f"clock {SLOW + 1000}\n", piece(0, way, 30_000, 60_000),
+    play(slowly(way, 30_000), WELL.format("b"), f"clock {STREAMING_THRESHOLD_US + 1000}\n",
+         piece(0, way, 30_000, 60_000),
          "holds 1\nclock 9000000\n", WELL.format("c"), "a reads\na has 60000\nholds 0\nclock 600000\n",
          piece(0, way, 60_000, 61_000), ended(0, way), "a whole 61000\n")  # fmt: skip
 
@@ -336,12 +346,12 @@
     play(slowly("told"), "holds 1\nn0 reset\nclock 9000000\n", WELL.format("b"), "a reads\na cut\n",
          "counter node_answers_broke_off 1\n")  # fmt: skip
     play(slowly("told"), "holds 1\nclock 9000000\n", WELL.format("b"), "a reads\na has 70000\nholds 0\n",
-         f"clock {STILL + 100_000}\na cut\ncounter node_answers_broke_off 1\n")  # fmt: skip
+         f"clock {STREAM_IDLE_TIMEOUT_US + 100_000}\na cut\ncounter node_answers_broke_off 1\n")  # fmt: skip
 
 
 def test_a_reader_that_never_reads_ends_and_its_server_is_not_blamed() -> None:
-    play(slowly("told"), "holds 1\nclock 100000\n", f"clock {WRITE_STALL_TIMEOUT_US - 1_000_000}\n",
-         WELL.format("b"),
+    play(slowly("told"), "holds 1\nclock 100000\n",
+         f"clock {WRITE_STALL_TIMEOUT_US - 1_000_000}\n", WELL.format("b"),
          "holds 1\nclock 1200000\na reads\na cut\ncounter node_answers_broke_off 0\n")  # fmt: skip
 
 
@@ -356,7 +366,7 @@
         "clock 5000000\n" + piece(0, "chunked", at, at + 10_000) + f"a has {at + 10_000}\n"
         for at in (70_000, 80_000, 90_000)
     )
-    left = TIME + LATE - 15_000_000
+    left = TIME + UNSIZED_EVICTION_AGE_US - 15_000_000
     play(servers(2), begun("a", 0, "chunked"), "a has 70000\nplaces nodes 1\n", moves,
          f"clock {left - 200_000}\n", REFUSED.format("x", 1), "counter node_answers_gave_way 0\n",
          piece(0, "chunked", 100_000, 110_000), "a has 110000\n",
@@ -400,7 +410,7 @@
 def test_what_its_reader_has_not_read_as_the_process_ends_is_seen_to_break_off() -> None:
     """All of it came from the server; to a client of HTTP/1.0 the process's end was the answer's."""
     for version, cut in (("1.0", "a reads a reset\n"), ("1.1", "a reads\na cut\n")):
-        play(slowly("chunked", 30_000, version), WELL.format("b"), f"clock {SLOW + 1000}\n",
+        play(slowly("chunked", 30_000, version), WELL.format("b"), f"clock {STREAMING_THRESHOLD_US + 1000}\n",
              piece(0, "chunked", 30_000, 60_000) + "| 0\n|\n", "a unread\nsignal TERM\n",
              WELL.format("c"), DRAIN, FINISH, END, "ends\nover\n", cut)  # fmt: skip
 
@@ -413,14 +423,15 @@
     brief = begun("c", 0, "chunked", 1000).replace(str(TIME / 1e6), "0.5")
     play(slowly("told"), "holds 1\nclock 9000000\n", WELL.format("b"), "a reads\na has 70000\nholds 0\n",
          piece(0, "told", 70_000, 120_000), "a whole 120000\nclock 10000\n", brief, WELL.format("d"),
-         f"clock {SLOW + 1000}\n", piece(0, "chunked", 1000, 2000), "c has 2000\n",
+         f"clock {STREAMING_THRESHOLD_US + 1000}\n", piece(0, "chunked", 1000, 2000), "c has 2000\n",
          "counter node_connections_opened 1\ncounter node_connections_reused 1\n",
          "clock 550000\n", WELL.format("e"), "counter node_answers_broke_off 0\n",
          "clock 150000\nc cut\n")  # fmt: skip
 
 
 def test_a_long_answer_is_not_cut_by_a_shorter_request_at_its_server() -> None:
-    play(servers(1), begun("a", 0, "chunked", 1000), WELL.format("b"), f"clock {SLOW + 1000}\n",
+    play(servers(1), begun("a", 0, "chunked", 1000), WELL.format("b"),
+         f"clock {STREAMING_THRESHOLD_US + 1000}\n",
          piece(0, "chunked", 1000, 2000), "a has 2000\n", "client c platform\nc >\n",
          "| GET /read?block=7f3a9c21e0b4d655 HTTP/1.1\n| X-Budget: 0.5\n& ask c1 / 0\n|\n",
          "until attempts_written 2\nclock 500000\nc <\n& refused\n", "clock 5000000\n", WELL.format("d"),
--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -56,8 +56,8 @@
     def shut_down(self) -> None:
         """Refuse a request that is half read, or close it where it has none."""
 
-    def abort_reply(self) -> None:
-        """Break off the reply that is being sent, so that the client can tell."""
+    def break_off(self) -> None:
+        """End it in the middle of a reply."""
 
     def abort_evicted(self) -> None:
         """End it for another's need of its place; a request that is half read is refused first."""
@@ -165,10 +165,10 @@
             conn.shut_down()
 
     def close(self) -> None:
-        """Break off replies that their clients have not read: the process ends, and the rest won't come."""
+        """Break off replies that are not read by now: the process ends, and clients see it at once."""
         for conn in self.slots:
             if conn.write_blocked:
-                conn.abort_reply()
+                conn.break_off()
 
     def evictable(self) -> Iterator[ClientConnection]:
         """Iterate over the connections that can be evicted, the first to go first.
@@ -204,14 +204,14 @@
         overdue = [
             (rank, conn.slot, conn, conn.source)
             for conn in self.slots
-            if conn.source and (rank := conn.source.overdue()) is not None
+            if conn.source and (rank := conn.source.eviction_rank()) is not None
         ]
         if not overdue:
             return False
         _, _, victim, source = min(overdue)
         self._mark_evicted(victim)
         victim.ended = True
-        source.give_way()
+        source.evict()
         return True
 
     def _mark_evicted(self, victim: ClientConnection) -> None:
--- a/umberlead/net/relay.py
+++ b/umberlead/net/relay.py
@@ -12,16 +12,16 @@
 
     sink: Any
 
-    def hold(self, stop: bool) -> None:
+    def set_paused(self, paused: bool) -> None:
         """Stop reading, or read on."""
 
-    def abandon(self) -> None:
+    def cancel(self) -> None:
         """End it: its reader has left."""
 
-    def overdue(self) -> Any:
+    def eviction_rank(self) -> Any:
         """Return its place in the order of eviction, the smallest first; None keeps it."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End it for another's need of its place."""
 
 
@@ -32,8 +32,8 @@
     closed: bool
     source: BodySource | None
 
-    def abort_reply(self) -> None:
-        """Break off the reply that is being sent, so that the client can tell."""
+    def break_off(self) -> None:
+        """End it in the middle of a reply."""
 
     def finish_response(self) -> None:
         """The reply is out: the next request's turn."""
@@ -62,12 +62,12 @@
             return ()
         return (b"%x\r\n" % len(data), data, b"\r\n") if self._chunked else (data,)
 
-    def more(self, piece: bytes) -> None:
+    def write(self, piece: bytes) -> None:
         """Pass a piece of the body on."""
         if not self._connection.closed:
             self._connection.transport.writelines(self.encode(piece))
 
-    def whole(self) -> None:
+    def finish(self) -> None:
         """End the reply: all of the body has come."""
         connection = self._connection
         connection.source = None
@@ -76,12 +76,8 @@
             connection.transport.write(b"0\r\n\r\n")
         connection.finish_response()
 
-    def broke(self) -> None:
-        """Break the reply off, since its rest will not come.
-
-        The client sees it, by `StreamingConnection.abort_reply`.
-        """
-        connection = self._connection
-        connection.source = None
+    def abort(self) -> None:
+        """Break the reply off, since its rest will not come."""
+        self._connection.source = None
         self._on_end(False)
-        connection.abort_reply()
+        self._connection.break_off()
