--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -85,6 +85,15 @@
         self.assertEqual(body, b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY))
         self.assertFalse(self.node.streaming)
 
+    def test_one_that_begins_and_turns_malformed_in_one_read_breaks_off_with_it(self) -> None:
+        """Its attempt has ended by then, so it stood until the next read, or for 10 s."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.node.data_received(head + b"%x\r\n%s\r\nno size\r\n" % (len(BODY), BODY))
+        self.assertEqual(self.ended, [Result.OK, False])
+        client: Any = self.client.transport
+        client.abort.assert_called_once()
+        self.assertNotIn(b"0\r\n\r\n", self._out()[-5:])
+
     def test_one_of_no_told_length_that_comes_slowly_does_not_wait_for_64_kib(self) -> None:
         """Its first bytes are what is timed: waiting for so much took up to a second."""
         chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
--- a/umberlead/net/node_connection.py
+++ b/umberlead/net/node_connection.py
@@ -142,12 +142,19 @@
             self.close()  # nobody asked: the connection is of no further use
             return
         if not self.reply.feed(data, self.pool.clock()):
-            return self.reply_failed("malformed")
+            return self._malformed()
         if self.stream is not None and self.streaming and self.reply.complete:
             return self.stream.finish()  # all of a long reply in the read that began it
         if not self.given_up and self.attempt is not None:
             self._after_read()
 
+    def _malformed(self) -> None:
+        """End the reply, or break it off where the read that turned malformed began to pass it on."""
+        if self.stream is not None and self.streaming:
+            self.stream.abort()
+        else:
+            self.reply_failed("malformed")
+
     def _after_read(self) -> None:
         """End a reply that is complete, or wait for more of it."""
         if self.reply.complete:
