Divide a front's descriptors by use while two processes of it stand

Cause: each process had half of the caps from the moment that it saw the other (Front.limit), whatever either used. An old process with 122 open requests had 76 client places and the new one 76, which its clients, coming over, filled within 2.5 s: refusals with "too many connections" and evictions, while both together used 197 of 384 descriptors at most.

Change: each publishes a claim (its caps and use of each kind of connection) beside its lock file. Every 20 ms it reads the others' under a lock on the folder, lowers its caps at once and raises them only by what no claim covers. It aims at what it needs and half of what nobody needs; one that has stopped taking clients aims at no more than it has. Beside a process that publishes nothing each has half as before. A new process listens once it has places, 0.2 s after its start's other steps at the latest. Memory is dealt in halves as before. The rule is handover/division.py, free of I/O.

--- /dev/null
+++ b/tests/test_handover_places.py
@@ -0,0 +1,274 @@
+"""How the processes of a front divide its descriptors: the rule over drawn sequences of events, what they publish,
+and two whole processes under open requests."""
+
+import random
+from pathlib import Path
+from unittest import mock
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from umberlead.handover.claims import Claim, Use, parse
+from umberlead.handover.division import LEAST_PLACES, divide, settled
+from umberlead.handover.places import UNBOUNDED
+from umberlead.limits import MORE, connections, deal, surplus, with_surplus
+from umberlead.shared import Shared
+
+HELD = 15  # descriptors of a process at its start
+DESCRIPTORS = 384
+
+
+@given(st.integers(2, 100_000))
+def test_connections_and_their_surplus_are_the_most_that_the_places_hold(places: int) -> None:
+    most = connections(places)
+    assert most + surplus(most) <= places < with_surplus(most + 1)
+
+
+# What is published
+
+FIGURES = st.integers(0, 1_000_000)
+CLAIMS = st.builds(
+    Claim, FIGURES, st.lists(st.builds(Use, FIGURES, FIGURES, FIGURES, FIGURES), max_size=4).map(tuple)
+)
+
+
+@given(CLAIMS)
+def test_a_claim_is_read_as_it_was_written(claim: Claim) -> None:
+    assert parse(claim.text()) == parse(claim.text().ljust(256)) == claim
+
+
+@pytest.mark.parametrize(
+    "text", ["", " ", "v1", "v2 5", "v1 x", "v1 -5", "v1 5 1/2/3", "v1 5 1/2/3/4/5", "v1 5 1/2/3/", "v1 5/6"]
+)
+def test_what_is_no_claim_counts_as_nothing_published(text: str) -> None:
+    assert parse(text) is None
+
+
+def test_processes_see_each_other_s_claims_and_a_dead_one_s_no_longer(tmp_path: Path) -> None:
+    first, second, seen = Shared(tmp_path), Shared(tmp_path), list[list[Claim | None]]()
+    claim = Claim(26, (Use(170, 9, 3, 384),))
+
+    def decide(others: list[Claim | None]) -> Claim:
+        seen.append(others)
+        return claim
+
+    assert first.publish(decide) and second.publish(decide) and first.publish(decide)
+    (tmp_path / "claims" / first._name).write_text("")
+    assert second.publish(decide)
+    (tmp_path / "claims" / first._name).unlink()
+    assert second.publish(decide)
+    first.leave()
+    assert second.publish(decide)
+    assert seen == [[Claim(0, ())], [claim], [claim], [None], [None], []]
+    second.leave()
+    assert [list(folder.iterdir()) for folder in (tmp_path / "fronts", tmp_path / "claims")] == [[], []]
+
+
+def test_where_another_decides_or_no_descriptor_is_left_nothing_is_published(tmp_path: Path) -> None:
+    first, second = Shared(tmp_path), Shared(tmp_path)
+    claim = Claim(26, (Use(170, 9, 3, 384),))
+
+    def decide(_: list[Claim | None]) -> Claim:
+        assert not second.publish(lambda _: pytest.fail("both decide"))
+        return claim
+
+    assert first.publish(decide)
+    with mock.patch("os.open", side_effect=OSError(24, "")):
+        assert not second.publish(lambda _: pytest.fail("it can't look"))
+    first.leave()
+    second.leave()
+
+
+# The rule
+
+
+class Model:
+    """A process: how many connections of clients and to chunk servers it has, with and without a request."""
+
+    def __init__(self, descriptors: int, held: int) -> None:
+        of = deal(descriptors, 64 << 20, held, 0)
+        self.descriptors, self.fixed = descriptors, held + MORE
+        self.alone = (with_surplus(of.doors), with_surplus(of.clients), of.nodes)
+        self.places, self.busy, self.resting = [0] * 3, [0] * 3, [0] * 3
+        self.closed = False
+        self.published = Claim(0, ())
+
+    def standing(self, kind: int) -> int:
+        return self.busy[kind] + self.resting[kind]
+
+    def caps(self) -> list[int]:
+        """Connections that may stand, without the surplus that is only told that there is no room."""
+        return [connections(self.places[0]), connections(self.places[1]), self.places[2]]
+
+    def claim(self) -> Claim:
+        uses = []
+        for kind, places in enumerate(self.places):
+            needed = self.busy[kind] if kind == 2 else with_surplus(self.busy[kind])
+            bound = UNBOUNDED
+            if self.closed and kind:
+                bound = max(self.standing(1), needed)
+            uses.append(Use(places, self.standing(kind), needed, bound))
+        return Claim(self.fixed, tuple(uses))
+
+    def look(self, others: list["Model"]) -> None:
+        claims: list[Claim | None] = [other.published for other in others]
+        new = divide(self.descriptors, self.alone, self.claim(), claims)
+        self.places = list(map(min, new, self.places))
+        for kind, most in enumerate(self.caps()):
+            over = max(self.standing(kind) - most, 0)
+            self.resting[kind] -= min(over, self.resting[kind])
+        self.places = list(new)
+        self.published = self.claim()
+
+    def settled(self, others: list["Model"]) -> bool:
+        claims: list[Claim | None] = [other.published for other in others]
+        return settled(self.descriptors, self.alone, self.claim(), claims)
+
+    def holds(self) -> int:
+        return self.fixed + sum(map(self.standing, range(3)))
+
+    def connect(self, kind: int, busy: bool) -> bool:
+        """False where there is no place for it."""
+        if self.standing(kind) >= self.caps()[kind]:
+            if not self.resting[kind]:
+                return False
+            self.resting[kind] -= 1
+        (self.busy if busy else self.resting)[kind] += 1
+        return True
+
+    def end(self, kind: int, keep: bool) -> None:
+        if self.busy[kind]:
+            self.busy[kind] -= 1
+            self.resting[kind] += keep
+
+    def leave(self, kind: int) -> None:
+        self.resting[kind] = max(self.resting[kind] - 1, 0)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["look", "look", "connect", "connect", "end", "leave", "close", "kill", "start"]),
+        st.integers(0, 2), st.integers(0, 2), st.booleans(), st.integers(1, 60),
+    ),
+    max_size=120,
+)  # fmt: skip
+
+
+@settings(max_examples=300)
+@given(st.integers(64, 1000), EVENTS)
+def test_claims_never_pass_the_sum_whatever_crosses(
+    descriptors: int, events: list[tuple[str, int, int, bool, int]]
+) -> None:
+    """Only a start adds: what a process holds to begin with, until the others have looked."""
+    models = [Model(descriptors, HELD)]
+    models[0].look([])
+    before = sum(m.published.total() for m in models)
+    assert before <= descriptors
+    for event, at, kind, flag, times in events:
+        model = models[at % len(models)]
+        if event == "look":
+            model.look([m for m in models if m is not model])
+        elif event == "close":
+            model.closed = True
+        elif event == "start" and len(models) < 3:
+            models.append(Model(descriptors, HELD + at))
+            models[-1].look(models[:-1])
+            before += models[-1].fixed + 3 * LEAST_PLACES
+        elif event == "kill" and len(models) > 1:
+            models.remove(model)
+        for _ in range(times):
+            if event == "connect":
+                model.connect(kind, flag)
+            elif event == "end":
+                model.end(kind, flag)
+            elif event == "leave":
+                model.leave(kind)
+        now = sum(m.published.total() for m in models)
+        assert now <= max(descriptors, before), event
+        assert all(m.holds() <= m.published.total() for m in models), event
+        before = now
+
+
+@given(st.integers(128, 1000), st.integers(0, 1000), st.integers(0, 1000))
+def test_once_the_first_has_looked_the_sum_holds_beside_a_newcomer(
+    descriptors: int, busy: int, resting: int
+) -> None:
+    """As long as its clients hold at most a third of the descriptors for requests."""
+    first, second = Model(descriptors, HELD), Model(descriptors, HELD)
+    first.look([])
+    for number, flag in ((min(busy, descriptors // 3), True), (resting, False)):
+        for _ in range(min(number, first.caps()[1] - first.standing(1))):
+            first.connect(1, flag)
+    second.look([first])
+    first.look([second])
+    assert first.published.total() + second.published.total() <= descriptors
+    for _ in range(3):
+        second.look([first])
+        first.look([second])
+    assert first.published.total() + second.published.total() <= descriptors
+    assert second.settled([first])
+
+
+def test_a_killed_process_s_places_come_back_at_the_next_look() -> None:
+    first, second = Model(DESCRIPTORS, HELD), Model(DESCRIPTORS, HELD)
+    first.look([])
+    for _ in range(3):
+        second.look([first])
+        first.look([second])
+    assert first.places != list(first.alone)
+    first.look([])
+    assert first.places == list(first.alone)
+
+
+def test_beside_a_process_that_publishes_nothing_each_has_half() -> None:
+    first = Model(DESCRIPTORS, HELD)
+    first.look([])
+    new = divide(DESCRIPTORS, first.alone, first.claim(), [None])
+    assert DESCRIPTORS // 2 - 3 <= first.fixed + sum(new) <= DESCRIPTORS // 2
+
+
+INTERVAL = 20  # ms between looks
+RATE = 0.15  # new connections a ms at each process that takes them
+ACCEPTS = 550  # ms after SIGTERM
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.integers(0, 1 << 32), st.integers(0, INTERVAL - 1), st.integers(0, INTERVAL - 1))
+def test_requests_that_pass_over_one_by_one_are_never_refused(
+    seed: int, first_phase: int, second_phase: int
+) -> None:
+    """A third of the descriptors holds requests, each on a connection of its own; each that ends is followed by
+    one on a new connection, at either process while both take them: 150 a second at each, in drawn
+    intervals. Looks are 20 ms apart. A connection that ended stands for up to 300 ms more."""
+    rng, total = random.Random(seed), DESCRIPTORS // 3
+    first, second = Model(DESCRIPTORS, HELD), Model(DESCRIPTORS, HELD)
+    first.look([])
+    for _ in range(total):
+        assert first.connect(1, True)
+    lingering = list[tuple[int, Model]]()
+    begun, stop = -1, 500
+    for now in range(3000):
+        if now % INTERVAL == first_phase:
+            first.look([second])
+        if now % INTERVAL == second_phase:
+            second.look([first])
+            if begun < 0 and second.settled([first]):
+                begun = now
+        first.closed = now > stop + ACCEPTS
+        open_ones = [
+            m for m in (first, second) if (m is first and not first.closed) or (m is second and begun >= 0)
+        ]
+        for model in open_ones:
+            if rng.random() >= RATE:
+                continue
+            ends = rng.choice([first] * first.busy[1] + [second] * second.busy[1])
+            ends.end(1, True)
+            lingering.append((now + rng.randrange(300), ends))
+            assert model.connect(1, True), (now, first.claim(), second.claim())
+        for _, model in [pair for pair in lingering if pair[0] <= now]:
+            model.leave(1)
+        lingering = [pair for pair in lingering if pair[0] > now]
+        assert first.published.total() + second.published.total() <= DESCRIPTORS or now < 2 * INTERVAL
+    assert 0 <= begun <= 3 * INTERVAL
+    assert second.busy[1] > total / 2
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -19,7 +19,8 @@
 from umberlead.core.wheel import Wheel
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
-from umberlead.limits import BODY_MOST, Reserve, deal, granted, held, to_come
+from umberlead.handover.places import Places
+from umberlead.limits import BODY_MOST, MORE, Reserve, deal, granted, held, to_come, with_surplus
 from umberlead.net.attempts import IDLE_PART, Pool
 from umberlead.net.discovery import Watch
 from umberlead.net.http import Clients, Handler, Listener
@@ -34,6 +35,8 @@
 SERVING, ANSWERING = 400_000, 200_000
 FIRST_LIST = 0.4  # s a start waits for the list; longer, and discovery is down: the known one must do
 SWEEP = 100_000
+DIVIDE = 20_000  # us between looks at what another process leaves of the descriptors
+DIVIDED = 200_000  # us a start waits for its part of them; longer, and the other process hangs
 REPORT = 10_000_000  # us between the counters' lines
 
 
@@ -98,6 +101,7 @@
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
         self.shared, self.processes = Shared(conf.state), 1
+        self.places = Places(self.shared, self.pool, self.groups, self.doors, self.servers)
         self.part = 0.0  # of what this front may send for a volume; none was told yet
         if self.shared.fault:
             self.log.warning("nothing_shared", why=self.shared.fault)
@@ -136,22 +140,33 @@
     def limit(self) -> None:
         """The caps that follow from the configuration, at the start and with each reload."""
         conf = self.conf
-        # Two processes of a front have one front's limits between them.
+        # Two processes of a front have one front's limits between them: of memory each has an even part.
         sockets, memory = granted(conf.sockets) // self.processes, conf.memory // self.processes
         of = deal(sockets, memory, *self.held, max(len(self.groups), 1))
-        self.pool.most, self.pool.memory, self.pool.head_most = of.nodes, of.answers, of.head
-        self.pool.answer_most = of.answer
+        self.pool.memory, self.pool.answer_most, self.pool.head_most = of.answers, of.answer, of.head
         self.pool.idle_time = int(conf.keepalive * IDLE_PART)
         self.engine.names_most, self.syslog.most = of.names, of.lines
         for group in self.groups:
-            group.most, group.idle = of.clients, conf.client_idle
+            group.idle = conf.client_idle
             group.memory, group.head_most = of.bodies // len(self.groups), of.head
         for _, group in self.doors:
-            group.most, group.memory, group.head_most = of.doors, BODY_MOST, of.head
+            group.memory, group.head_most = BODY_MOST, of.head
         if conf.objects is not None:  # the operator's own cap holds below that
             self.groups[-1].memory = min(self.groups[-1].memory, conf.objects.memory)
         for handler in self.handlers:
             handler.retry_after = self.conf.retry_after
+        self.divide()
+
+    def divide(self) -> None:
+        """Caps of connections: by use, while another process of this front stands."""
+        sockets = granted(self.conf.sockets)
+        of = deal(sockets, 0, *self.held, max(len(self.groups), 1))
+        clients = [with_surplus(of.doors)] * len(self.doors) + [with_surplus(of.clients)] * len(self.groups)
+        self.places.look(sockets, self.held[0] + MORE, [*clients, of.nodes], len(self.engine.tickets))
+
+    def divides(self) -> None:
+        self.divide()
+        self.wheel.after(DIVIDE, self.divides)
 
     def look(self) -> None:
         """What other processes of this front, and calls at their doors, have changed."""
@@ -232,6 +247,7 @@
             await self.talk(conf.rooms.peers)
         self.look()
         self.limit()
+        self.wheel.after(DIVIDE, self.divides)
         reached("parts")
         if self.watch is not None and self.watch.ours:
             # What the agent has counts as told from a process's first moment, and `known` may be old.
@@ -240,6 +256,7 @@
             await self.watch.first.wait()
             over.cancel()
         reached("list")
+        await self.has_places()
         if self.told_to_stop:  # before anything was taken
             return
         for handler, group, address in ready:
@@ -258,6 +275,12 @@
         self.log.info("started", cpu=time.process_time_ns() // 1000, **stages())
         await self.done.wait()
 
+    async def has_places(self) -> None:
+        """Beside another process: until that has let go of places. Clients taken sooner would find none."""
+        over = self.wheel.after(DIVIDED, self.places.settled.set)
+        await self.places.settled.wait()
+        over.cancel()
+
     async def talk(self, of: config.Peers) -> None:
         """What is held of rooms goes to other fronts, and theirs comes here: only where it is configured."""
         from umberlead.rooms.peers import start
--- /dev/null
+++ b/umberlead/handover/places.py
@@ -0,0 +1,85 @@
+"""A process's caps of connections: looked at anew as the processes beside it change theirs."""
+
+import asyncio
+from collections.abc import Sequence
+
+from umberlead.handover.claims import Claim, Use
+from umberlead.handover.division import divide, settled
+from umberlead.limits import connections, with_surplus
+from umberlead.net.attempts import Pool
+from umberlead.net.http import Clients, Listener
+from umberlead.shared import Shared
+
+UNBOUNDED = 1_000_000  # more than any front's descriptors
+
+
+class Places:
+    """The kinds are operators' connections, those of each listener's clients, and those to chunk servers."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        pool: Pool,
+        groups: Sequence[Clients],
+        doors: Sequence[tuple[Listener, Clients]],
+        listeners: Sequence[Listener],
+    ) -> None:
+        self.shared, self.pool = shared, pool
+        self.groups, self.doors, self.listeners = groups, doors, listeners
+        self.settled = asyncio.Event()  # the others have let go of what this process needs to begin
+        self._places: tuple[int, ...] = ()
+
+    def look(self, descriptors: int, fixed: int, alone: Sequence[int], open_requests: int) -> None:
+        """Divide anew. `descriptors` are the front's, `fixed` those of this process that are no connections,
+        `alone` the places by kind of a process that nobody stands beside. Where the others can't be looked
+        at now nothing is raised."""
+        if len(self._places) != len(alone):
+            self._places = (0,) * len(alone)
+        places = self._places
+
+        def decide(others: list[Claim | None]) -> Claim:
+            nonlocal places
+            own = self._claim(fixed, self._places, open_requests)
+            places = divide(descriptors, alone, own, others)
+            self._apply(tuple(map(min, places, self._places)))
+            claim = self._claim(fixed, places, open_requests)
+            if settled(descriptors, alone, claim, others):
+                self.settled.set()
+            return claim
+
+        if self.shared.publish(decide):
+            self._apply(places)
+
+    def _all_clients(self) -> list[Clients]:
+        return [*(group for _, group in self.doors), *self.groups]
+
+    def _claim(self, fixed: int, places: Sequence[int], open_requests: int) -> Claim:
+        *of_clients, of_nodes = places
+        uses = [self._use_of(*kind) for kind in zip(self._all_clients(), of_clients, strict=True)]
+        busy = self.pool.busy()
+        bound = max(busy, open_requests) if self._closed() else UNBOUNDED
+        uses.append(Use(of_nodes, len(self.pool.slots), busy, bound))
+        return Claim(fixed, tuple(uses))
+
+    def _use_of(self, clients: Clients, places: int) -> Use:
+        listeners = [*self.listeners, *(door for door, _ in self.doors)]
+        standing = len(clients.slots) + sum(one.taking() for one in listeners if one.clients is clients)
+        needed = with_surplus(clients.busy())
+        closed = self._closed() and clients in self.groups
+        return Use(places, standing, needed, max(standing, needed) if closed else UNBOUNDED)
+
+    def _closed(self) -> bool:
+        """No new clients are taken any more."""
+        return bool(self.listeners) and not any(one.open or one.coming for one in self.listeners)
+
+    def _apply(self, places: tuple[int, ...]) -> None:
+        before, self._places = self._places, places
+        if places == before:
+            return
+        *of_clients, self.pool.most = places
+        for clients, most in zip(self._all_clients(), of_clients, strict=True):
+            clients.most = connections(most)
+            clients.shrink()
+        self.pool.shrink()
+        for listener in self.listeners:
+            listener.resume()
--- a/umberlead/limits.py
+++ b/umberlead/limits.py
@@ -17,8 +17,8 @@
 BODY_MOST = 64 * 1024  # the protocol's
 NAME_BYTES, LINE_BYTES = 160, 512  # what a remembered name and a waiting line of the log take, about
 # Descriptors to come in any front: its listener and the operators' (2), discovery's old and new stream (2),
-# the lock of the shared state (1), a file or folder being read (1), what libuv keeps back (1), looking up
-# names (2), and 2 to spare.
+# the lock of the shared state (1), files and folders being read (2), what libuv keeps back (1), looking up
+# names (2), and 1 to spare.
 MORE = 11
 NODES_LEAST = 2  # connections
 LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # our own, and it may pass
@@ -70,6 +70,17 @@
     return max(most // 8, 1)
 
 
+def with_surplus(most: int) -> int:
+    """Descriptors for `most` connections and their surplus; none for none."""
+    return most + surplus(most) if most else 0
+
+
+def connections(places: int) -> int:
+    """As many connections as `places` descriptors hold together with their surplus; one at least."""
+    most = max(places * 8 // 9, 1)
+    return most + 1 if with_surplus(most + 1) <= places else most
+
+
 def deal(sockets: int, memory: int, descriptors: int, used: int, fronts: int = 1) -> Limits:
     """Of `sockets` descriptors the process holds `descriptors`, and MORE are kept for what is no connection.
     What is left is dealt out whole: a sixteenth to the operators' connections; of the rest five ninths to
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -733,12 +733,22 @@
         if resting and conn in resting:
             resting.remove(conn)
 
+    def busy(self) -> int:
+        """Connections that carry a request, or dial for one."""
+        resting = sum(map(len, self.idle.values()))
+        unasked = sum(c.attempt is None for dials in self.dials.values() for c in dials)
+        return len(self.slots) - resting - unasked
+
+    def shrink(self) -> None:
+        """Where the cap came down, what is over it and carries nothing goes."""
+        for _ in range(len(self.slots) - self.most):  # their places are free a turn later
+            if not self._evict():
+                break
+
     def sweep(self) -> None:
         """Retire idle connections well before the chunk server may close them."""
         old = self.clock() - self.idle_time
-        for _ in range(len(self.slots) - self.most):  # the cap came down; their places are free a turn later
-            if not self._evict():
-                break
+        self.shrink()
         for address, resting in list(self.idle.items()):
             while resting and resting[0].idle_since <= old:
                 self.counters.add("node_connections_retired")
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -123,12 +123,9 @@
 
     def sweep(self) -> None:
         """Close what has stood too long: lingering, half sent, silent, or idle; when most places are taken
-        an idle connection goes sooner. Where the cap came down, what is over it goes."""
+        an idle connection goes sooner."""
         now = self.clock()
-        spares = self.spares()
-        for _ in range(len(self.slots) - self.going - self.most):
-            if not self.evict(spares):
-                break
+        self.shrink()
         idle = self.idle or 1 << 62
         if len(self.slots) > self.most // 2:
             idle = min(idle, SPARE_TIME)
@@ -141,6 +138,18 @@
             elif conn.since + conn.patience(idle) <= now:
                 conn.expire()
 
+    def shrink(self) -> None:
+        """Where the cap came down, what is over it goes."""
+        spares = self.spares()
+        for _ in range(len(self.slots) - self.going - self.most):
+            if not self.evict(spares):
+                break
+
+    def busy(self) -> int:
+        """Connections that can't give their place up now: they have a request, or are new."""
+        old = self.clock() - GRACE
+        return sum(not conn.spare(old) for conn in self.slots)
+
     def plenty(self) -> bool:
         """With many connections standing, the first answer on another ends it: clients that ask once and keep
         theirs would fill what they and we may hold, and the next one find no place. Not where it was used
@@ -230,10 +239,14 @@
         self.address: Address = self.socket.getsockname()[:2]
         loop.add_reader(self.socket, self._ready)
 
+    def taking(self) -> int:
+        """Connections that were accepted and have no slot yet."""
+        return sum(conn.slot < 0 for conn in self.tasks.values())
+
     def _over(self) -> int:
         """Connections past the cap, with those being taken and without those that gave their place up."""
-        clients, taking = self.clients, sum(conn.slot < 0 for conn in self.tasks.values())
-        return len(clients.slots) + taking - clients.going - clients.most
+        clients = self.clients
+        return len(clients.slots) + self.taking() - clients.going - clients.most
 
     def _ready(self) -> None:
         """One turn's share of what waits: those that came before are read in between."""
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -1,19 +1,22 @@
 """What this process and the one that replaces it both see, as files under $TMPDIR: which processes stand
-behind the front's addresses, which chunk servers operators took out, and whether an agent answers for lists.
-It is the only thing written."""
+behind the front's addresses, what of its descriptors each claims, which chunk servers operators took out, and
+whether an agent answers for lists. It is the only thing written."""
 
 import contextlib
 import fcntl
 import os
 import secrets
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import IO
 from urllib.parse import quote, unquote
 
+from umberlead.handover.claims import Claim, parse
 from umberlead.limits import LACK
 
 LEAVING = 0.25  # of another's part, for one that ends: its clients go over with their next answer
+CLAIM_BYTES = 256  # of a claim's file, whose size never changes: there is no moment without room for it
 
 
 class Shared:
@@ -23,11 +26,14 @@
         self._name, self._marks = secrets.token_hex(8), dict[str, int]()
         self._lock: IO[str] | None = None
         self._weight, self._beside = 1.0, list[float]()
+        self._claim = ""
         if root is None:
             return
         try:
             (root / "fronts").mkdir(parents=True, exist_ok=True)
             (root / "offline").mkdir(exist_ok=True)
+            (root / "claims").mkdir(exist_ok=True)
+            self._write_claim(Claim(0, ()))  # the others see a process that will divide with them
             self._lock = open(root / "fronts" / self._name, "w")  # noqa: SIM115 (held until the end)
             fcntl.flock(self._lock, fcntl.LOCK_EX)
         except OSError as fault:
@@ -48,6 +54,48 @@
         has less before the others know of it, so the parts never add up to more than 1."""
         return self._weight / (self._weight + sum(self._beside))
 
+    def publish(self, decide: Callable[[list[Claim | None]], Claim]) -> bool:
+        """Publish the claim that `decide` makes of the others', None for each that has published nothing.
+        No other process decides meanwhile. False where that can't be done now: one does, or there is no
+        descriptor for it. `decide` may have been called then."""
+        if self.root is None:
+            decide([])
+            return True
+        try:
+            folder = os.open(self.root / "fronts", os.O_RDONLY)
+        except OSError:
+            return False
+        try:
+            fcntl.flock(folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            names = [name for name in self._list("fronts") if name != self._name]
+            alive = [name for name in names if self._lives(self.root / "fronts" / name)]
+            self._write_claim(decide([self._claim_of(name) for name in alive]))
+        except OSError:
+            return False
+        finally:
+            os.close(folder)
+        return True
+
+    def _claim_of(self, name: str) -> Claim | None:
+        assert self.root is not None
+        try:
+            return parse((self.root / "claims" / name).read_text())
+        except FileNotFoundError:
+            return None
+        except ValueError:  # no text
+            return None
+
+    def _write_claim(self, claim: Claim) -> None:
+        assert self.root is not None
+        if (text := claim.text()) == self._claim:
+            return
+        file = os.open(self.root / "claims" / self._name, os.O_WRONLY | os.O_CREAT, 0o644)
+        try:
+            os.write(file, text.ljust(CLAIM_BYTES).encode())
+        finally:
+            os.close(file)
+        self._claim = text
+
     def leaves(self) -> None:
         """This process was told to end, and the others are to know."""
         self._weight = LEAVING
@@ -124,6 +172,7 @@
 
     def leave(self) -> None:
         if self._lock is not None and self.root is not None:
-            (self.root / "fronts" / self._name).unlink(missing_ok=True)
+            for folder in ("fronts", "claims"):
+                (self.root / folder / self._name).unlink(missing_ok=True)
             self._lock.close()
             self._lock = None
