Give a process that is short of places at once what no other claims

Change: one part of what is free is claimed by nobody, and a process that finds no place looks at once, every 2 ms at most. Folders are listed only where they changed.

--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -101,7 +101,9 @@
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
         self.shared, self.processes = Shared(conf.state), 1
-        self.places = Places(self.shared, self.pool, self.groups, self.doors, self.servers)
+        self.places = Places(
+            self.shared, self.pool, self.groups, self.doors, self.servers, self.clock, self.divide
+        )  # fmt: skip
         self.part = 0.0  # of what this front may send for a volume; none was told yet
         if self.shared.fault:
             self.log.warning("nothing_shared", why=self.shared.fault)
@@ -192,6 +194,7 @@
 
     def clients(self) -> Clients:
         made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
+        made.short = self.places.short
         self.groups.append(made)
         return made
 
--- a/umberlead/handover/claims.py
+++ b/umberlead/handover/claims.py
@@ -1,4 +1,4 @@
-"""What a process of a front publishes to those beside it: the descriptors it may hold, and its use of them."""
+"""What a process of a front publishes to those beside it: descriptors it may hold, and its use of them."""
 
 from dataclasses import dataclass
 
--- a/umberlead/handover/division.py
+++ b/umberlead/handover/division.py
@@ -1,8 +1,8 @@
 """The rule by which the processes of a front divide its descriptors while more than one stands.
 
 Each process applies it to its own claim and to those that the others published, while it alone may publish.
-It lowers its caps at any time and raises them only by what no claim covers, so the claims never add up to more
-than the front's descriptors. Only a process that arrives adds what it can't do without."""
+It lowers its caps at any time and raises them only by what no claim covers, so the claims never add up to
+more than the front's descriptors. Only a process that arrives adds what it can't do without."""
 
 from collections.abc import Sequence
 
@@ -66,10 +66,11 @@
 
 
 def _target(pot: int, own: Use, others: Sequence[Use]) -> int:
-    """What it needs and an even part of what nobody needs, less where it has no use for that. Connections at
-    rest are kept beyond that as long as the others have room to grow."""
+    """What it needs and an even part of what nobody needs, less where it has no use for that. One more such
+    part is claimed by nobody: whoever is short first takes of it at once. Connections at rest are kept beyond
+    that as long as the others have room to grow."""
     free = max(pot - own.needed - sum(use.needed for use in others), 0)
-    even = free // (1 + len(others))
+    even = free // (2 + len(others))
     left_over = sum(max(even - use.headroom_wanted(), 0) for use in others)
     fair = own.needed + min(even + left_over // len(others), own.headroom_wanted())
     kept = pot - sum(max(use.standing, use.needed) for use in others) - pot // KEPT_FREE
--- a/umberlead/handover/places.py
+++ b/umberlead/handover/places.py
@@ -1,7 +1,7 @@
 """A process's caps of connections: looked at anew as the processes beside it change theirs."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from umberlead.handover.claims import Claim, Use
 from umberlead.handover.division import divide, settled
@@ -10,6 +10,7 @@
 from umberlead.net.http import Clients, Listener
 from umberlead.shared import Shared
 
+SOONEST = 2_000  # us between looks of a process that is short of places
 UNBOUNDED = 1_000_000  # more than any front's descriptors
 
 
@@ -23,11 +24,21 @@
         groups: Sequence[Clients],
         doors: Sequence[tuple[Listener, Clients]],
         listeners: Sequence[Listener],
+        clock: Callable[[], int],
+        divide_now: Callable[[], None],
     ) -> None:
         self.shared, self.pool = shared, pool
         self.groups, self.doors, self.listeners = groups, doors, listeners
         self.settled = asyncio.Event()  # the others have let go of what this process needs to begin
         self._places: tuple[int, ...] = ()
+        self.clock, self._divide_now = clock, divide_now
+        self._beside, self._looked = False, 0  # whether others stand, and when that was looked at last
+        pool.short = self.short
+
+    def short(self) -> None:
+        """A connection is due and finds no place: what no process claims is there at once."""
+        if self._beside and self.clock() - self._looked >= SOONEST:
+            self._divide_now()
 
     def look(self, descriptors: int, fixed: int, alone: Sequence[int], open_requests: int) -> None:
         """Divide anew. `descriptors` are the front's, `fixed` those of this process that are no connections,
@@ -35,10 +46,11 @@
         at now nothing is raised."""
         if len(self._places) != len(alone):
             self._places = (0,) * len(alone)
-        places = self._places
+        places, self._looked = self._places, self.clock()
 
         def decide(others: list[Claim | None]) -> Claim:
             nonlocal places
+            self._beside = bool(others)
             own = self._claim(fixed, self._places, open_requests)
             places = divide(descriptors, alone, own, others)
             self._apply(tuple(map(min, places, self._places)))
--- a/umberlead/net/attempts.py
+++ b/umberlead/net/attempts.py
@@ -588,6 +588,7 @@
         self.late = 2 * WORTH  # part of slow dials that come up
         self.dials: dict[Address, list[NodeConnection]] = {}  # not up yet, the oldest first
         self.slots: Slots[NodeConnection] = Slots()
+        self.short: Callable[[], None] = lambda: None  # asks for a higher cap
         self.memory, self.held = BODY_MOST, 0  # of answers that are being read
         self.answer_most, self.head_most = BODY_MOST, HEAD_MOST
 
@@ -615,6 +616,8 @@
                 conn.close()
 
     def dial(self, attempt: Attempt, address: Address) -> None:
+        if len(self.slots) >= self.most:
+            self.short()
         if len(self.slots) >= self.most and not self._evict():
             self.counters.add("node_connections_over_cap")
             self.engine.ended(attempt, Result.MOOT)  # our own cap, and none of the node's doing
--- a/umberlead/net/http.py
+++ b/umberlead/net/http.py
@@ -115,6 +115,7 @@
         self.most, self.clock, self.counters, self.idle = most, clock, counters, idle
         self.memory, self.held, self.head_most = memory, 0, HEAD_MOST
         self.slots: Slots[ServerConnection] = Slots()
+        self.short: Callable[[], None] = lambda: None  # asks for a higher cap
         self.going = 0  # connections that gave their place up, with a slot for one more turn
         self.stopping = False  # those that stand are served on
         self.leaving = False  # another process takes over: connections end with their next answer
@@ -250,7 +251,10 @@
 
     def _ready(self) -> None:
         """One turn's share of what waits: those that came before are read in between."""
-        clients, spares, over = self.clients, self.clients.spares(), self._over()
+        clients = self.clients
+        if self._over() >= 0:
+            clients.short()
+        spares, over = clients.spares(), self._over()
         extra = surplus(clients.most)  # for telling those at once that there is no room
         for taken in range(min(extra, SHARE)):
             if over + clients.going >= extra:  # what gives its place up lets its descriptor go a turn later
--- a/umberlead/shared.py
+++ b/umberlead/shared.py
@@ -26,7 +26,8 @@
         self._name, self._marks = secrets.token_hex(8), dict[str, int]()
         self._lock: IO[str] | None = None
         self._weight, self._beside = 1.0, list[float]()
-        self._claim = ""
+        self._names, self._listed = list[str](), 0  # the others, and the folder's time as they were listed
+        self._claim, self._published = "", False
         if root is None:
             return
         try:
@@ -45,8 +46,10 @@
         if self.root is None:
             return 0
         with contextlib.suppress(OSError):
+            listed = os.stat(self.root / "fronts").st_mtime_ns
             names = [n for n in self._list("fronts") if n != self._name]
-            self._beside = [w for n in names if (w := self._lives(self.root / "fronts" / n))]
+            weights = {n: w for n in names if (w := self._lives(self.root / "fronts" / n))}
+            self._names, self._beside, self._listed = list(weights), list(weights.values()), listed
         return len(self._beside)
 
     def part(self) -> float:
@@ -67,9 +70,14 @@
             return False
         try:
             fcntl.flock(folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            names = [name for name in self._list("fronts") if name != self._name]
-            alive = [name for name in names if self._lives(self.root / "fronts" / name)]
-            self._write_claim(decide([self._claim_of(name) for name in alive]))
+            if os.fstat(folder).st_mtime_ns != self._listed:
+                self.others()
+            claim = decide([self._claim_of(name) for name in self._names])
+            if not self._published:  # by the system's clock alone a start within one of its ticks goes unseen
+                now = time.time_ns()
+                os.utime(folder, ns=(now, now))
+                self._published = True
+            self._write_claim(claim)
         except OSError:
             return False
         finally:
@@ -79,11 +87,13 @@
     def _claim_of(self, name: str) -> Claim | None:
         assert self.root is not None
         try:
-            return parse((self.root / "claims" / name).read_text())
+            file = os.open(self.root / "claims" / name, os.O_RDONLY)
         except FileNotFoundError:
             return None
-        except ValueError:  # no text
-            return None
+        try:
+            return parse(os.read(file, CLAIM_BYTES).decode("ascii", "replace"))
+        finally:
+            os.close(file)
 
     def _write_claim(self, claim: Claim) -> None:
         assert self.root is not None
