--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -78,6 +78,7 @@
         memory_limit_bytes: how much all may hold: bodies, bytes read ahead, replies not read yet.
         held_bytes: how much they hold now.
         max_head_bytes: how long the head of a request may be.
+        on_shortage: asks for a higher cap.
         evicting: connections that were evicted, and have a slot for one more turn of the loop.
         stopping: the front stops; connections that stand are served on.
         close_after_reply: another process takes over, so connections end with their next reply.
@@ -100,6 +101,7 @@
         self.held_bytes, self.max_head_bytes = 0, HEAD_MOST
         self.slots: Slots[ClientConnection] = Slots()
         self.evicting = 0
+        self.on_shortage: Callable[[], None] = lambda: None
         self.stopping = self.close_after_reply = self.refusing = False
 
     @property
@@ -114,10 +116,7 @@
         goes.
         """
         now_us = self.clock()
-        evictable = self.evictable()
-        for _ in range(self.count - self.max_connections):
-            if not self.evict(evictable):
-                break
+        self.enforce_limit()
         idle_us = idle_timeout_us(self.idle_timeout_us, len(self.slots), self.max_connections)
         for conn in self.slots:
             if conn.reading_paused() and conn.pending_events() & DISCONNECT_EVENTS:
@@ -128,6 +127,18 @@
             elif conn.state_since_us + conn.timeout_us(idle_us) <= now_us:
                 conn.on_timeout()
 
+    def enforce_limit(self) -> None:
+        """Evict what is over a cap that came down, as far as it can go."""
+        evictable = self.evictable()
+        for _ in range(self.count - self.max_connections):
+            if not self.evict(evictable):
+                break
+
+    def busy_count(self) -> int:
+        """Count the connections that can't be evicted now: they have a request, or are new."""
+        before_us = self.clock() - ACCEPT_GRACE_US
+        return sum(conn.current is not None or not conn.is_evictable(before_us) for conn in self.slots)
+
     def above_idle_threshold(self) -> bool:
         """Tell whether the first reply on a connection ends it, since many stand.
 
--- a/umberlead/net/listener.py
+++ b/umberlead/net/listener.py
@@ -54,14 +54,20 @@
         if hasattr(socket, "TCP_DEFER_ACCEPT"):
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, seconds)
 
+    def pending_count(self) -> int:
+        """Count the connections that were accepted and have no slot yet."""
+        return sum(conn.slot < 0 for conn in self.tasks.values())
+
     def _excess(self) -> int:
         """Connections past the cap, with those being accepted and without those that were evicted."""
-        pending = sum(conn.slot < 0 for conn in self.tasks.values())
-        return self.clients.count + pending - self.clients.max_connections
+        return self.clients.count + self.pending_count() - self.clients.max_connections
 
     def _accept_batch(self) -> None:
         """Accept one turn's share of what waits: those that came before are read in between."""
-        clients, evictable, excess = self.clients, self.clients.evictable(), self._excess()
+        clients = self.clients
+        if self._excess() >= 0:
+            clients.on_shortage()
+        evictable, excess = clients.evictable(), self._excess()
         most_excess = surplus(clients.max_connections)  # for telling those at once that there is no room
         for accepted in range(min(most_excess, ACCEPT_BATCH)):
             if excess + clients.evicting >= most_excess:  # an evicted one's descriptor is free a turn later
--- a/umberlead/net/node_pool.py
+++ b/umberlead/net/node_pool.py
@@ -62,6 +62,7 @@
         self.slots: Slots[NodeConnection] = Slots()
         self.memory_limit_bytes, self.held_bytes = BODY_MOST, 0
         self.max_reply_bytes, self.max_head_bytes = BODY_MOST, HEAD_MOST
+        self.on_shortage: Callable[[], None] = lambda: None  # asks for a higher cap
         self.dialer = Dialer(self)
 
     # Carrier: what the engine asks
@@ -149,6 +150,8 @@
     # Connections
 
     def _dial(self, attempt: Attempt, address: Address) -> None:
+        if len(self.slots) >= self.max_connections:
+            self.on_shortage()
         if len(self.slots) >= self.max_connections and not self._evict():
             self.counters.add("node_connections_over_cap")
             self.engine.ended(attempt, Result.MOOT)  # our own cap, and none of the node's doing
@@ -183,13 +186,21 @@
             for conn in [*self.idle.get(address, []), *self.dialer.unused(address)]:
                 conn.close()
 
+    def busy_count(self) -> int:
+        """Count the connections that carry a request, or dial for one."""
+        resting = sum(map(len, self.idle.values()))
+        return len(self.slots) - resting - len(self.dialer.unused())
+
+    def enforce_limit(self) -> None:
+        """Close what is over a cap that came down, as far as it carries nothing."""
+        for _ in range(len(self.slots) - self.max_connections):  # their places are free a turn later
+            if not self._evict():
+                break
+
     def sweep(self) -> None:
         """Retire idle connections well before the chunk server may close them."""
         before_us = self.clock() - self.idle_timeout_us
-        excess = len(self.slots) - self.max_connections
-        for _ in range(excess):  # the cap came down; their places are free a turn later
-            if not self._evict():
-                break
+        self.enforce_limit()
         for address, resting in list(self.idle.items()):
             while resting and resting[0].idle_since_us <= before_us:
                 self.counters.add("node_connections_retired")
