--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -16,8 +16,9 @@
 import matplotlib.pyplot as plt
 
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Ask, Attempt, Engine, Reply
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Node, NodeList, NodeState, Plan, RequestClass, Result, Settings
+from umberlead.core.requests import Attempt, IncomingRequest, Reply
 from umberlead.core.wheel import Wheel
 from umberlead.expect.model import Collection, Load, Scenario
 from umberlead.expect.world import World
@@ -86,7 +87,8 @@
     for k in range(DECISIONS):
         now[0] += 4000
         engine.take(
-            Ask("read", "basic", f"v{k % 40}", None, k % 8, 1.0, now[0] + 2_000_000, None), lambda _: None
+            IncomingRequest("read", "basic", f"v{k % 40}", None, k % 8, 1.0, now[0] + 2_000_000, None),
+            lambda _: None,
         )
         while soon:
             soon.pop(0)()
--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -13,7 +13,7 @@
 WATCH, FRONT = "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
 VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
-WATCHING = "umberlead/recovery/watching.py"
+WATCHING, GUARD = "umberlead/recovery/watching.py", "umberlead/core/send_guard.py"
 
 planted.TESTS = (
     "tests/test_client_leaves.py",
@@ -44,13 +44,13 @@
     ("client gone: a dial given up counts against the node", NODE, "result = reason if self.written or reason is Result.MOOT else Result.NO_LINK", "result = reason if self.written else Result.NO_LINK"),
     ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
     ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
-    ("client gone: not looked for as an attempt is decided", ENGINE, "            or not self.client_waits(ticket)\n", ""),
-    ("client gone: not looked for as its connection is up", NODE, "if not self.pool.client_waits(self.attempt.ticket):", "if False:"),
+    ("client gone: not looked for as an attempt is decided", GUARD, "return None if self._client_waits(request) else Denial.CLIENT_LEFT", "return None"),
+    ("client gone: not looked for as its connection is up", GUARD, "        return self._denied_client(attempt.ticket)\n", "        return None\n"),
     ("client gone: the rest of a request follows in that turn", NODE, "if self.write_paused and not self.written and self.is_open():", "if False:"),
     ("client gone: what was decided with it has no outcome", ENGINE, "for act, ticket in [(act, self._named(act)) for act in acts]:", "for act, ticket in ((act, self._named(act)) for act in acts):"),
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
     ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
-    ("hand-over of news: a draining server gets what was dialled", NODE, "if not self.pool.takes_new(self.attempt.node):", "if False:"),
+    ("hand-over of news: a draining server gets what was dialled", GUARD, "if not self._node_takes_new(attempt.node):", "if False:"),
     ("watches: what a reload leaves is not read", WATCH, "            if stream is not None:\n                stream.read_ahead()\n", "            if False:\n                stream.read_ahead()\n"),
     ("watches: what came is not read before one is silent", WATCH, "            stream.read_ahead()\n            if stream.dead or", "            if stream.dead or"),
     ("retries: a reset with the last bytes is an end", NODE, "if self.reply.framed or self._socket_state().was_reset():", "if self.reply.framed:"),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,8 +7,9 @@
 from tests.test_parts import Alarm, Clock
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Answer, Ask, Attempt, Engine, Kind
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Effect, Result
+from umberlead.core.requests import Answer, Attempt, IncomingRequest, Kind
 from umberlead.core.wheel import Wheel
 from umberlead.net.node_connection import NodeConnection
 from umberlead.net.node_protocol import OutgoingRequest
@@ -60,7 +61,7 @@
             self.calls.pop(0)()
 
     def take(self, name: str = "read") -> Any:
-        ask = Ask(name, "p", "v", None, 0, 1.0, self.clock.now + 1_000_000, None)
+        ask = IncomingRequest(name, "p", "v", None, 0, 1.0, self.clock.now + 1_000_000, None)
         return self.engine.take(ask, self.answers.append)
 
     def test_one_answer_whatever_comes_after_it(self) -> None:
@@ -111,7 +112,8 @@
 
     def test_a_break_proves_that_nothing_ran_only_before_the_last_byte_is_handed_over(self) -> None:
         for steps, want in (("", Result.RESET), ("pause", Result.NO_LINK), ("pause resume", Result.RESET)):
-            transport, pool = mock.Mock(), mock.Mock(clock=lambda: 0, host_line=b"", held_bytes=0)
+            transport = mock.Mock()
+            pool = mock.Mock(clock=lambda: 0, host_line=b"", held_bytes=0, may_write=lambda attempt: None)
             transport.is_closing.return_value = False
             conn = NodeConnection(pool, ("h", 1))
             conn.attempt = mock.Mock(give_up=0, sent=0)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -11,8 +11,8 @@
 from tests.exchange import CONTENT, Exchange
 from tests.helpers import T0
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Attempt, Reply
 from umberlead.core.interface import Result
+from umberlead.core.requests import Attempt, Reply
 from umberlead.core.wheel import Wheel
 from umberlead.net.client_connections import Clients
 from umberlead.net.node_connection import NodeConnection
--- /dev/null
+++ b/tests/test_pipelined_deadlines.py
@@ -0,0 +1,23 @@
+"""Requests that a client sent at once, and whose time is over when their turn comes: each gets an answer."""
+
+from tests.exchange import Exchange
+
+ASK = """| GET /read?block=7f3a9c21e0b4d65{n} HTTP/1.1
+| X-Call-Id: id{n}
+| X-Plan: gold
+| X-Budget: {budget}
+| X-IO: volume=b4,units=1,shard=0
+|
+"""
+
+
+def test_those_behind_one_that_took_their_time_are_all_refused() -> None:
+    """One after the other, and in their order, though all are refused within the same turn of the loop."""
+    sent = "".join(
+        ASK.format(n=n, budget=budget) for n, budget in enumerate(("0.400", "0.300", "0.200", "0.100"))
+    )
+    refused = "| HTTP/1.1 503 Service Unavailable\n| Retry-After: 0.5\n"
+    refused += "| Content-Length: 22\n|\n~ refused: no time left\n"
+    first = "& refused\n"
+    text = "node s 0\ns next stall\nclient c platform\nc >\n" + sent + "c <\n" + first + refused * 3
+    Exchange(text).play()
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -17,8 +17,8 @@
 from click.testing import CliRunner
 
 from umberlead.commands import command
-from umberlead.core.engine import Answer, Attempt, Kind, Reply
 from umberlead.core.interface import Result as Ended
+from umberlead.core.requests import Answer, Attempt, Kind, Reply
 from umberlead.emulator import rehearsal, virtual
 from umberlead.emulator.figures import Figures
 from umberlead.emulator.judge import NAMES, SLACK, Judge, by_name
--- a/tests/test_rooms_front.py
+++ b/tests/test_rooms_front.py
@@ -12,8 +12,9 @@
 from umberlead import config
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Answer, Ask, Attempt, Engine, Kind
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Effect, NodeState, Result
+from umberlead.core.requests import Answer, Attempt, IncomingRequest, Kind
 from umberlead.core.wheel import Wheel
 from umberlead.emulator.figures import Figures
 from umberlead.emulator.judge import Judge
@@ -173,7 +174,7 @@
 
     def ask(self, name: str, cls: str = "read", shard: int = 0) -> None:
         until = self.loop.now + (2_000_000 if cls == "read" else 3_000_000)
-        ask = Ask(cls, "basic", "v", name, shard, 1.0, until, None)
+        ask = IncomingRequest(cls, "basic", "v", name, shard, 1.0, until, None)
         self.engine.take(ask, lambda answer: self.answers.__setitem__(name, answer))
         self.run(0)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,8 +23,9 @@
 
 from umberlead import config
 from umberlead.core.counters import Counters
-from umberlead.core.engine import NEVER_RAN, Answer, Attempt, Engine, Kind, Ticket
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Effect, Node, NodeList, NodeState, Result
+from umberlead.core.requests import NEVER_RAN, Answer, Attempt, InFlightRequest, Kind
 from umberlead.core.wheel import Wheel
 from umberlead.emulator.loop import Alarm, Loop
 from umberlead.front import Front
@@ -291,7 +292,7 @@
         if leaves and not ticket.answered:
             self.loop.at(self.loop.now + self.chance.randrange(100_000), lambda: self._leave(ticket, name))
 
-    def _leave(self, ticket: Ticket, name: bytes) -> None:
+    def _leave(self, ticket: InFlightRequest, name: bytes) -> None:
         if not ticket.answered:
             self.gone.add(name)
             self.engine.gone(ticket)
--- a/tests/test_standing_fleet.py
+++ b/tests/test_standing_fleet.py
@@ -14,8 +14,9 @@
 from tests.test_attempts import Dials, Wire
 from tests.test_descriptors import ENTRY, TEXT, Process, Servers, _read, _run, _served
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Ask, Engine
+from umberlead.core.engine import Engine
 from umberlead.core.interface import NodeList
+from umberlead.core.requests import IncomingRequest
 from umberlead.core.wheel import Wheel
 from umberlead.net.node_pool import Pool
 from umberlead.net.node_protocol import OutgoingRequest
@@ -84,7 +85,7 @@
             engine = Engine(of, number, now, wheel, self.soon.append, counters, print)
             loop: Any = self.dials
             pool = Pool(engine, loop, wheel, now, counters, 100, 250_000, 15_000_000, "s", print)
-            engine.carrier, pool.takes_new = pool, engine.takes_new
+            engine.carrier, pool.may_write = pool, engine.guard.may_write
             self.fronts.append((engine, pool))
 
     async def turns(self) -> None:
@@ -101,7 +102,9 @@
     def ask(self, engine: Engine, name: str) -> None:
         payload = OutgoingRequest(b"GET", b"/read", [])
         engine.take(
-            Ask("read", "gold", "v", None, 0, 2.0, self.dials.now + 2_000_000, payload, name=name.encode()),
+            IncomingRequest(
+                "read", "gold", "v", None, 0, 2.0, self.dials.now + 2_000_000, payload, name=name.encode()
+            ),
             self.answers.append,
         )
 
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -13,7 +13,7 @@
 from umberlead.core import interface as api
 from umberlead.core import linear as la
 from umberlead.core.buckets import NEVER
-from umberlead.core.interface import Effect, NodeState, Result
+from umberlead.core.interface import Effect, NodeState, Reason, Result
 from umberlead.core.level import Level
 from umberlead.core.records import Item, Try
 from umberlead.core.volumes import Volumes
@@ -399,15 +399,15 @@
         elif not (chain[0].held or chain[0].out or chain[0].done):
             self.hold(chain[0])
 
-    def give_up(self, item: Item) -> None:
+    def give_up(self, item: Item, reason: Reason = Reason.AIM_OVER) -> None:
         """The final answer at once: a refusal wherever it is harmless to try again, else a failure."""
         if item.done or item.out:
             return
         keyed_for_all = item.cls.effect is Effect.KEYED and item.cls.group == "all"
         if item.ran_at is None or keyed_for_all or item.cls.effect is Effect.SAFE:
-            self.acts.append(api.Refuse(item.req.request, self.s.retry_after_max))
+            self.acts.append(api.Refuse(item.req.request, self.s.retry_after_max, reason))
         else:
-            self.acts.append(api.Fail(item.req.request))
+            self.acts.append(api.Fail(item.req.request, reason))
         self.conclude(item)
 
     def conclude(self, item: Item) -> None:
@@ -456,7 +456,8 @@
             takes = press * (view.target if view else 0) * max(units / self.s.mean_units, SMALL)
             hopeless = view and self.now + min(takes, MOSTLY * item.cls.aim) > item.aim_at
             if hopeless or not self.may_send(item):
-                self.give_up(item)  # a late answer would take the place of one in time
+                # A late answer would take the place of one in time.
+                self.give_up(item, Reason.HOPELESS if hopeless else Reason.NO_FURTHER_ATTEMPT)
                 self.tag(shard, volume)
                 continue
             if view is None or when > self.now:
@@ -526,7 +527,9 @@
             self.conclude(item)
         elif e.astray and self.moved(item) and self.may_send(item):
             self.hold(item)
-        elif e.astray or self.now >= item.aim_at or not self.may_send(item):
+        elif self.now >= item.aim_at:
             self.give_up(item)
+        elif e.astray or not self.may_send(item):
+            self.give_up(item, Reason.NO_FURTHER_ATTEMPT)
         else:
             self.hold(item)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -1,147 +1,40 @@
 """Requests, attempts and outcomes between fronts, the decision module and whatever carries attempts.
 
-A front hands in an `Ask` and is called back once with its `Answer`. The module's word is carried out as it
-comes; what the rules forbid is not sent whoever asks for it. No wire is known here."""
+A front hands in an `IncomingRequest` and is called back once with its `Answer`. The module's word is carried
+out as it comes; what the rules forbid (`send_guard.py`) is not sent whoever asks for it. No wire is known
+here."""
 
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
 from umberlead.core.decide import Head
 from umberlead.core.interface import Effect, Result
+from umberlead.core.invariants import InvariantChecker
+from umberlead.core.requests import (
+    NEVER_RAN,
+    Answer,
+    Attempt,
+    Carrier,
+    DuplicateRequestError,
+    Hooks,
+    IncomingRequest,
+    InFlightRequest,
+    Kind,
+    Refused,
+    Reply,
+    Watcher,
+)
+from umberlead.core.send_guard import Denial, SendGuard
 from umberlead.core.slots import Slots
-from umberlead.core.wheel import Timer, Wheel
+from umberlead.core.wheel import Wheel
 
-NEVER_RAN = (Result.FULL, Result.NO_LINK, Result.MOOT)
 NAMES_FOR = 10_000_000  # us at least that a request's name stays taken after it came
 LAST_WORD = 10_000  # us after a request's end by which the engine answers in the module's place
 
 
-class Duplicate(ValueError):
-    """The name of a request that is open, or was a moment ago."""
-
-
-class Kind(Enum):
-    SERVED = "served"
-    REFUSED = "refused"  # trying again is harmless
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Ask:
-    """A request as a front took it; `payload` is for the carrier alone."""
-
-    class_name: str
-    plan: str
-    volume: str
-    key: str | None
-    shard: int
-    units: float
-    give_up: int
-    payload: Any
-    writers: int = 1
-    repeat: bool = False
-    name: bytes = b""  # the client's own for it; one request at a time may bear it
-    streams: bool = False  # whether the front can pass on a long answer as it comes
-    left: Callable[[], bool] | None = None  # looks whether its client has left; the front acts on it at once
-
-
-@dataclass(slots=True)
-class Reply:
-    """What a carrier brought back for one attempt."""
-
-    status: int = 0
-    body: bytes = b""
-    load: dict[str, float] = field(default_factory=dict)
-    used: int = 0
-    elsewhere: int = 0
-    rest: Any = None  # the carrier's own, where more of the body comes; the front calls `relayed` at its end
-    length: int | None = None  # of the whole body, where that is known
-
-
-@dataclass(slots=True)
-class Answer:
-    kind: Kind
-    reply: Reply | None = None
-    retry_after: int = 0  # us
-    may_have_run: bool = False
-    reason: str = ""
-
-
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """A request in its slot, from `take` to its answer and the end of its last attempt."""
-
-    ask: Ask
-    done: Callable[[Answer], None]
-    slot: int = -1
-    id: str = ""
-    tries: int = 0
-    out: "Attempt | None" = None
-    may_have_run: bool = False
-    answered: bool = False
-    notes: dict[str, str] = field(default_factory=dict)
-    forsaken: bool = False  # its client left: no further attempt
-    taken: int = 0  # when, on the engine's clock
-    timer: Timer | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One sending of a request to a node."""
-
-    ticket: Ticket
-    number: int
-    node: str
-    sent: int
-    give_up: int
-    once: bool = False  # in doubt whether it ran, it can't be sent again
-    again: bool = False  # its connection broke before it was written, and another was tried
-    astray: bool = False  # the node had no use for it, now or later
-    carried: Any = None  # the carrier's own
-
-
-class Carrier(Protocol):
-    def start(self, attempt: Attempt) -> None:
-        """Send it; `Engine.ended` is owed once."""
-
-    def stop(self, attempt: Attempt, why: Result) -> None:
-        """Give it up; `Engine.ended` is owed all the same."""
-
-    def unwanted(self, attempt: Attempt) -> bool:
-        """Nobody waits for it: unless it is all on its way to the node, it is not sent, ends as `moot`, and
-        that is True."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """A refusal at once, with when to come back (us)."""
-
-    reason: str
-    retry_after: int = 0
-
-
-class Hooks(Protocol):
-    def taken(self, ticket: Ticket) -> "str | Refused | None":
-        """A reason to refuse, or None."""
-
-    def outcome(self, ticket: Ticket, node: str, result: Result, elapsed: int) -> None: ...
-
-    def answer(self, ticket: Ticket, answer: Answer) -> None: ...
-
-
-class Watcher(Protocol):
-    """Who is told of more than hooks are, and may change what the module is told of the list."""
-
-    def listed(self, news: api.NodeList) -> api.NodeList: ...
-
-    def sent(self, ticket: Ticket, node: str) -> None: ...
-
-
 class Engine:
     def __init__(
         self,
@@ -160,7 +53,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
         self.head = Head(settings, seed, clock())
-        self.tickets: Slots[Ticket] = Slots()
+        self.tickets: Slots[InFlightRequest] = Slots()
         self.names_most = 20_000
         self.carrier: Carrier | None = None
         self.watcher: Watcher | None = None
@@ -169,20 +62,25 @@
         self._number = 0
         self._names, self._older = set[bytes](), set[bytes]()  # of two spans, so that old ones go
         self._names_since = clock()
-        self._open: dict[bytes, Ticket] = {}
+        self._open: dict[bytes, InFlightRequest] = {}
         self.active = 0  # requests taken and not answered
         self.over = False  # the process ends: nothing new is begun
         self.figures = {(kind, c.name): 0 for kind in Kind for c in settings.classes}  # answers
+        self.trace: Callable[..., None] | None = None  # a line of each attempt, for the log
+        self.guard = SendGuard(
+            self.classes, settings.max_attempts, clock, self.takes_new, self.client_waits
+        )  # fmt: skip
+        self.invariants = InvariantChecker(settings, clock, counters, log)
 
     # From the fronts
 
-    def take(self, ask: Ask, done: Callable[[Answer], None]) -> Ticket:
+    def take(self, ask: IncomingRequest, done: Callable[[Answer], None]) -> InFlightRequest:
         """Owe `ask` one answer."""
         if ask.class_name not in self.classes or ask.plan not in self.plans:
             raise ValueError(f"unknown class or plan: {ask.class_name}, {ask.plan}")
         if ask.name:
             self._name(ask.name)
-        ticket = Ticket(ask, done, taken=self.clock())
+        ticket = InFlightRequest(ask, done, taken=self.clock())
         if ask.name:
             self._open[ask.name] = ticket
         ticket.slot, self._number = self.tickets.add(ticket), self._number + 1
@@ -212,14 +110,15 @@
             self._names, self._older, self._names_since = set(), self._names, now
         if name in self._open or name in self._names or name in self._older:
             self.counters.add("requests_duplicate")
-            raise Duplicate("this request's id is another's")
+            raise DuplicateRequestError("this request's id is another's")
         self._names.add(name)
 
-    def gone(self, ticket: Ticket) -> None:
+    def gone(self, ticket: InFlightRequest) -> None:
         """Its client left: nothing is owed. An attempt that is out runs on: no cancel stops the node's work,
         and its outcome is news. One that still waits for its connection is not sent any more."""
         if not ticket.answered:
             ticket.answered = True
+            ticket.left_at = ticket.left_at or self.clock()
             self.active -= 1
             self.counters.add("clients_gone")
             if ticket.out is not None and self.carrier is not None:
@@ -227,7 +126,7 @@
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
 
-    def client_waits(self, ticket: Ticket) -> bool:
+    def client_waits(self, ticket: InFlightRequest) -> bool:
         """Whether its client still waits, looked for at this moment: where a front is busy or stood still,
         news that it left comes behind the turn that begins an attempt. If it left, that is acted on here."""
         if ticket.answered or ticket.forsaken:
@@ -238,12 +137,13 @@
             self.gone(ticket)
         return False
 
-    def forsake(self, ticket: Ticket) -> None:
+    def forsake(self, ticket: InFlightRequest) -> None:
         """Its client left, and a front keeps account of what ran: no attempt is begun any more, and the
         answer comes as soon as it is known what became of one that is out."""
         if ticket.answered or ticket.forsaken:
             return
         ticket.forsaken = True
+        ticket.left_at = ticket.left_at or self.clock()
         self.counters.add("clients_gone")
         if ticket.out is None:
             self._forsaken(ticket)
@@ -251,22 +151,28 @@
         elif self.carrier is not None:
             self.carrier.unwanted(ticket.out)
 
-    def _forsaken(self, ticket: Ticket) -> None:
-        kind = Kind.REFUSED if self._may_repeat(ticket) else Kind.FAILED
+    def _forsaken(self, ticket: InFlightRequest) -> None:
+        kind = Kind.REFUSED if self.guard.may_repeat(ticket) else Kind.FAILED
         self._answer(ticket, Answer(kind, None, 0, ticket.may_have_run, "its client left"))
 
     def listed(self, news: api.NodeList) -> None:
+        self.invariants.listed(news)
         self._post(news if self.watcher is None else self.watcher.listed(news))
 
     def tell(self, news: api.NodeList) -> None:
         """To the module as it is, past the watcher whose word it is."""
         self._post(news)
 
-    def turn_away(self, which: Callable[[Ticket], bool], reason: str, retry_after: int) -> int:
+    def turn_away(self, which: Callable[[InFlightRequest], bool], reason: str, retry_after: int) -> int:
         """Refuse what waits with no attempt out and may be repeated, now instead of at its aim; how many."""
         count = 0
         for ticket in list(self.tickets):
-            if ticket.answered or ticket.out is not None or not self._may_repeat(ticket) or not which(ticket):
+            if (
+                ticket.answered
+                or ticket.out is not None
+                or not self.guard.may_repeat(ticket)
+                or not which(ticket)
+            ):
                 continue
             count += 1
             self._answer(ticket, Answer(Kind.REFUSED, None, retry_after, ticket.may_have_run, reason))
@@ -291,6 +197,7 @@
         return view is not None and view.info.state is api.NodeState.UP and node not in self.head.taken_out
 
     def by_hand(self, node: str, out: bool, at: int) -> None:
+        self.invariants.taken_out(node, out)
         self._post(api.ByHand(node, out, at))
 
     def has_part(self, part: float) -> None:
@@ -319,6 +226,8 @@
         if ticket.out is not attempt:
             raise RuntimeError(f"second outcome for attempt {attempt.number} of {ticket.id}")
         ticket.out = None
+        ticket.last_result = result
+        self.invariants.ended(attempt, result)
         ticket.may_have_run |= result not in NEVER_RAN
         self.counters.add(f"attempts_{result.value}")
         elapsed = max(self.clock() - attempt.sent, 0)
@@ -365,13 +274,13 @@
             elif isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel) and ticket is not None:
                 self._act(ticket, act)
 
-    def _named(self, act: api.Action) -> Ticket | None:
+    def _named(self, act: api.Action) -> InFlightRequest | None:
         if not isinstance(act, api.Send | api.Refuse | api.Fail | api.Cancel):
             return None
         ticket = self.tickets.get(int(act.request.partition(".")[0]))
         return ticket if ticket is not None and ticket.id == act.request else None
 
-    def _act(self, ticket: Ticket, act: api.Send | api.Refuse | api.Fail | api.Cancel) -> None:
+    def _act(self, ticket: InFlightRequest, act: api.Send | api.Refuse | api.Fail | api.Cancel) -> None:
         if isinstance(act, api.Send):
             self._send(ticket, act.node)
         elif isinstance(act, api.Cancel):
@@ -380,38 +289,39 @@
         elif not ticket.answered:
             refused = isinstance(act, api.Refuse)
             advice = act.retry_after if isinstance(act, api.Refuse) else 0
-            kind = Kind.REFUSED if refused and self._may_repeat(ticket) else Kind.FAILED
+            kind = Kind.REFUSED if refused and self.guard.may_repeat(ticket) else Kind.FAILED
+            if act.reason is not None:
+                self.counters.add(f"requests_{kind.value}_{act.reason.value}")
             self._answer(ticket, Answer(kind, None, advice, ticket.may_have_run))
             self._release(ticket)
 
-    def _may_repeat(self, ticket: Ticket) -> bool:
-        """Nothing ran, or running again does no harm."""
-        return not ticket.may_have_run or self.classes[ticket.ask.class_name].effect is Effect.SAFE
-
-    def _send(self, ticket: Ticket, node: str) -> None:
+    def _send(self, ticket: InFlightRequest, node: str) -> None:
         number, now = ticket.tries, self.clock()
+        denial = Denial.STOPPING if self.carrier is None else self.guard.may_begin(ticket)
         ticket.tries += 1
-        barred = (
-            ticket.answered
-            or ticket.forsaken
-            or ticket.out is not None  # never two attempts at once
-            or number >= self.settings.max_attempts
-            or now >= ticket.ask.give_up
-            or (ticket.may_have_run and self.classes[ticket.ask.class_name].effect is Effect.UNSAFE)
-            or not self.client_waits(ticket)
-        )
-        if barred or self.carrier is None:
+        if denial is not None or self.carrier is None:
             self.counters.add("attempts_barred")
+            self.counters.add(f"attempts_barred_{denial.value if denial else 'stopping'}")
             self._post(api.Outcome(ticket.id, node, number, Result.MOOT, 0, ticket.answered))
             return
         last = ticket.tries >= self.settings.max_attempts
         once = last or self.classes[ticket.ask.class_name].effect is not Effect.SAFE
         ticket.out = Attempt(ticket, number, node, now, ticket.ask.give_up, once)
         self.counters.add("attempts_sent")
+        if number and ticket.last_result is not None:
+            self.counters.add(f"attempts_repeated_after_{ticket.last_result.value}")
+        if self.trace is not None:
+            after = ticket.last_result.value if ticket.last_result else ""
+            self.trace("attempt", **self._about(ticket), number=number, node=node, after=after)
         if self.watcher is not None:
             self.watcher.sent(ticket, node)
         self.carrier.start(ticket.out)
 
+    @staticmethod
+    def _about(ticket: InFlightRequest) -> dict[str, str]:
+        """What a line of the log names a request by: its id here, and its client's own."""
+        return {"request": ticket.id, "call": ticket.ask.name.decode("latin-1")}
+
     # Ends
 
     def finish(self) -> None:
@@ -420,7 +330,7 @@
         for ticket in self.tickets:
             self._last_word(ticket)
 
-    def _out_of_time(self, ticket: Ticket) -> None:
+    def _out_of_time(self, ticket: InFlightRequest) -> None:
         """The time of the request, and of the attempt that is out, is over. An attempt of a client that
         left ends here too."""
         ticket.timer = None
@@ -429,18 +339,19 @@
         if not ticket.answered:
             self.wheel.after(LAST_WORD, self._last_word, ticket)
 
-    def _last_word(self, ticket: Ticket) -> None:
+    def _last_word(self, ticket: InFlightRequest) -> None:
         """The module left it open: answered here, for each request taken is owed one answer."""
         if not ticket.answered:
             self.counters.add("answered_for_module")
             out = ticket.out
             unsent = out is None or (self.carrier is not None and self.carrier.unwanted(out))
-            kind = Kind.REFUSED if unsent and self._may_repeat(ticket) else Kind.FAILED
+            kind = Kind.REFUSED if unsent and self.guard.may_repeat(ticket) else Kind.FAILED
             self._answer(ticket, Answer(kind, may_have_run=ticket.may_have_run or not unsent))
             self._post(api.ClientGone(ticket.id))
             self._release(ticket)
 
-    def _answer(self, ticket: Ticket, answer: Answer) -> None:
+    def _answer(self, ticket: InFlightRequest, answer: Answer) -> None:
+        self.invariants.answered(ticket)
         ticket.answered = True
         if answer.reply is None or answer.reply.rest is None:
             self._count(answer.kind, ticket.ask.class_name)
@@ -461,9 +372,10 @@
         else:
             self._count(Kind.SERVED if whole else Kind.FAILED, class_name)
 
-    def _release(self, ticket: Ticket) -> None:
+    def _release(self, ticket: InFlightRequest) -> None:
         if ticket.answered and ticket.out is None and self.tickets.get(ticket.slot) is ticket:
             if ticket.timer is not None:
                 ticket.timer.cancel()
             self._open.pop(ticket.ask.name, None)
             self.tickets.free(ticket.slot)
+            self.invariants.released(ticket)
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -36,6 +36,15 @@
     MOOT = "moot"  # never went out
 
 
+class Reason(Enum):
+    """Why a request was refused or failed."""
+
+    HOPELESS = "hopeless"  # it would be served late, and take the place of one in time
+    AIM_OVER = "aim_over"  # it waited up to its aim
+    NO_FURTHER_ATTEMPT = "no_further_attempt"  # its class, its count or the budget allows none
+    OVERLOAD = "overload"  # more wait than there are places for their connections
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """One kind of request."""
@@ -220,6 +229,7 @@
 
     request: str
     retry_after: int = 0
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +237,7 @@
     """Final: not served, with no promise whether it took effect."""
 
     request: str
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/emulator/virtual.py
+++ b/umberlead/emulator/virtual.py
@@ -8,8 +8,9 @@
 
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Answer, Ask, Attempt, Engine, Reply
+from umberlead.core.engine import Engine
 from umberlead.core.interface import NodeState, Result
+from umberlead.core.requests import Answer, Attempt, IncomingRequest, Reply
 from umberlead.core.wheel import Wheel
 from umberlead.emulator.loop import START, Alarm, Loop
 from umberlead.emulator.node import FOREVER, Job, Node
@@ -88,7 +89,7 @@
     def take(self, of: Try, block: str, shard: int) -> None:
         r, now = of.of, self.world.loop.now
         until = START + of.until
-        ask = Ask(
+        ask = IncomingRequest(
             r.class_name, r.plan, r.volume, block, shard, r.units, until - MARGIN, (of, block), r.hosts
         )  # fmt: skip
         ticket = self.engine.take(ask, lambda answer: self.world.answered(of, answer))
--- a/umberlead/expect/world.py
+++ b/umberlead/expect/world.py
@@ -15,8 +15,9 @@
 
 from umberlead.core import interface as api
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Answer, Ask, Attempt, Engine
+from umberlead.core.engine import Engine
 from umberlead.core.interface import NodeState, Result
+from umberlead.core.requests import Answer, Attempt, IncomingRequest
 from umberlead.core.wheel import Wheel
 from umberlead.emulator.loop import START, Alarm, Loop
 from umberlead.expect.model import Collection, Happening, Life, Load, Scenario, Step
@@ -151,7 +152,7 @@
         )  # fmt: skip
         life.steps.append(Step(now - START, "taken"))
         self.lives.append(life)
-        ask = Ask(
+        ask = IncomingRequest(
             load.class_name, collection.plan, volume, key, shard, load.units, now + cls.deadline, life,
             collection.hosts,
         )  # fmt: skip
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -77,7 +77,7 @@
         self.log = logger(conf.name, lambda: self.conf.log_level, self.syslog)
         self.clock = module_clock()
         self.wheel = Wheel(self.clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), conf.tick)
-        trace = self.log.debug if conf.log_level == "debug" else None
+        trace = self.trace = self.log.debug if conf.log_level == "debug" else None
         settings = conf.settings
         if conf.rooms is not None:
             from umberlead.rooms.joined import bounded
@@ -92,9 +92,9 @@
             self.engine, loop, self.wheel, self.clock, self.counters, 0,
             conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal", self.log.info,
         )  # fmt: skip
-        self.engine.carrier = self.pool
-        self.pool.takes_new = self.engine.takes_new
-        self.pool.client_waits = self.engine.client_waits
+        self.engine.carrier, self.engine.trace = self.pool, trace
+        self.pool.may_write = self.engine.guard.may_write
+        self.pool.on_write = self.engine.invariants.written
         self.rooms: Any = None  # what decides by rooms, where the configuration has them
         if conf.rooms is not None:
             from umberlead.rooms.joined import join
@@ -205,10 +205,17 @@
     def clients(self) -> Clients:
         made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
         made.on_shortage = self.places.short
+        made.on_close = self._client_closed
         self.groups.append(made)
         return made
 
+    def _client_closed(self, owed: bool, reason: str, calls: str) -> None:
+        self.engine.invariants.closed(owed, reason, calls)
+        if self.trace is not None:
+            self.trace("client_closed", reason=reason, calls=calls)
+
     def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
+        self.engine.invariants.listening(clients.max_connections > 0 and self.pool.max_connections > 0)
         share = self.shared.root is not None
         listener = Listener(handler, clients, address, self.loop, share)
         self.servers.append(listener)
--- a/umberlead/fronts/control.py
+++ b/umberlead/fronts/control.py
@@ -8,7 +8,8 @@
 from typing import Any
 from urllib.parse import quote, unquote
 
-from umberlead.core.engine import Engine, Kind
+from umberlead.core.engine import Engine
+from umberlead.core.requests import Kind
 from umberlead.net.http_message import Message
 from umberlead.net.server_connection import ServerConnection
 
--- a/umberlead/fronts/objects.py
+++ b/umberlead/fronts/objects.py
@@ -16,7 +16,8 @@
 from urllib.parse import parse_qs, quote, unquote_to_bytes
 
 from umberlead.config import Objects, Operation
-from umberlead.core.engine import Answer, Ask, Engine, Kind, Reply, Ticket
+from umberlead.core.engine import Engine
+from umberlead.core.requests import Answer, IncomingRequest, InFlightRequest, Kind, Reply
 from umberlead.fronts import ranges, s3
 from umberlead.fronts.ledger import Ledger, Part, State, Upload, doubtful
 from umberlead.fronts.s3 import S3Error
@@ -99,7 +100,7 @@
     query: dict[str, str]
     plan: str = ""
     give_up: int = 0
-    open: set[Ticket] = field(default_factory=set)  # of blocks that are asked for or written now
+    open: set[InFlightRequest] = field(default_factory=set)  # of blocks that are asked for or written now
     left: bool = False  # its client did
 
     def header(self, name: bytes) -> str:
@@ -299,11 +300,11 @@
             SERVED_READ if body is None else frozenset((200,)),
         )
         until = min(give_up, self.engine.clock() + cls.deadline)
-        ask = Ask(
+        ask = IncomingRequest(
             op.class_name, call.plan, volume, block, shard, units, until, out, hosts,
             left=call.conn.check_disconnected,
         )  # fmt: skip
-        ticket: Ticket = self.engine.take(ask, lambda answer: settle(ended, answer))
+        ticket: InFlightRequest = self.engine.take(ask, lambda answer: settle(ended, answer))
         call.open.add(ticket)
         try:
             return await ended
--- a/umberlead/fronts/platform.py
+++ b/umberlead/fronts/platform.py
@@ -1,4 +1,4 @@
-"""The platform's protocol: a client's HTTP request to an `Ask`, an `Answer` to HTTP."""
+"""The platform's protocol: a client's HTTP request to an `IncomingRequest`, an `Answer` to HTTP."""
 
 import math
 import re
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from urllib.parse import unquote_to_bytes
 
-from umberlead.core.engine import Answer, Ask, Duplicate, Engine, Kind, Ticket
+from umberlead.core.engine import Engine
+from umberlead.core.requests import Answer, DuplicateRequestError, IncomingRequest, InFlightRequest, Kind
 from umberlead.net.http_message import Message
 from umberlead.net.node_protocol import OutgoingRequest
 from umberlead.net.server_connection import ServerConnection
@@ -36,7 +37,7 @@
     return plain if plain in known else unquote_to_bytes(part).decode("utf-8", "replace")
 
 
-def ask_of(message: Message, engine: Engine, margin: int) -> Ask:
+def ask_of(message: Message, engine: Engine, margin: int) -> IncomingRequest:
     """What the client wants, or `BadRequest`."""
     _, query = message.split()
     class_name = class_of(message.target, engine.classes)
@@ -75,7 +76,7 @@
     out = OutgoingRequest(message.method, message.target, passed, message.body)
     # The budget counts from the client's sending: the margin is for the way here and back.
     give_up = message.received + max(int(budget * 1e6) - margin, 0)
-    return Ask(
+    return IncomingRequest(
         class_name, plan, io["volume"], found[1].decode(), shard, units, give_up, out, hosts,
         got.get(b"x-again") == b"1", got[b"x-call-id"], True,
     )  # fmt: skip
@@ -114,7 +115,7 @@
         conn.context, ask.left = None, conn.check_disconnected
         try:
             ticket = self.engine.take(ask, lambda answer: self._answer(conn, message, answer))
-        except Duplicate as fault:
+        except DuplicateRequestError as fault:
             conn.reply(409, (), f"{fault}\n".encode())
             return
         if not ticket.answered:
@@ -151,7 +152,7 @@
 
     def client_disconnected(self, conn: ServerConnection) -> None:
         ticket, conn.context = conn.context, None
-        if isinstance(ticket, Ticket):
+        if isinstance(ticket, InFlightRequest):
             self.engine.gone(ticket)
         elif isinstance(ticket, Relayed):
             self.engine.relayed(ticket.class_name, None)
--- a/umberlead/net/client_connections.py
+++ b/umberlead/net/client_connections.py
@@ -7,6 +7,7 @@
 from umberlead.core.counters import Counters
 from umberlead.core.slots import Slots
 from umberlead.limits import HEAD_MOST
+from umberlead.net.close_reason import CloseReason
 from umberlead.net.http_message import Message
 from umberlead.net.relay import BodySource
 from umberlead.net.socket_state import DISCONNECT_EVENTS
@@ -47,6 +48,9 @@
     def has_unread_request(self) -> bool:
         """Tell whether bytes of a request came that were not read yet."""
 
+    def record_close(self, reason: CloseReason) -> None:
+        """Take note of why it ends, once."""
+
     def abort_disconnected(self) -> None:
         """End it: the client has left, and the news of that stands unread."""
 
@@ -79,6 +83,8 @@
         held_bytes: how much they hold now.
         max_head_bytes: how long the head of a request may be.
         on_shortage: asks for a higher cap.
+        on_close: is told of a connection's end: whether a request on it is owed an answer, why it ends, and
+            the call ids of the requests on it.
         evicting: connections that were evicted, and have a slot for one more turn of the loop.
         stopping: the front stops; connections that stand are served on.
         close_after_reply: another process takes over, so connections end with their next reply.
@@ -102,6 +108,7 @@
         self.slots: Slots[ClientConnection] = Slots()
         self.evicting = 0
         self.on_shortage: Callable[[], None] = lambda: None
+        self.on_close: Callable[[bool, str, str], None] | None = None
         self.stopping = self.close_after_reply = self.refusing = False
 
     @property
@@ -123,6 +130,7 @@
                 conn.abort_disconnected()
             elif conn.write_blocked:
                 if conn.write_stalled(now_us):
+                    conn.record_close(CloseReason.WRITE_STALLED)
                     conn.transport.abort()
             elif conn.state_since_us + conn.timeout_us(idle_us) <= now_us:
                 conn.on_timeout()
@@ -180,6 +188,7 @@
         for conn in self.slots:
             if conn.write_blocked:
                 conn.break_off()
+            conn.record_close(CloseReason.PROCESS_END)
 
     def evictable(self) -> Iterator[ClientConnection]:
         """Iterate over the connections that can be evicted, the first to go first.
--- a/umberlead/net/connection_state.py
+++ b/umberlead/net/connection_state.py
@@ -7,6 +7,7 @@
 
 from umberlead.net import timeouts
 from umberlead.net.client_connections import Clients
+from umberlead.net.close_reason import CloseReason
 from umberlead.net.http_message import Message, Rejection
 from umberlead.net.pending_input import PendingInput
 from umberlead.net.relay import BodySource
@@ -29,6 +30,7 @@
         write_blocked: a reply waits here for the client to read it.
         state_since_us: when its present state began.
         context: the handler's own.
+        close_reason: why it ended, or ends; None while it stands.
         rejected_target: the target of what was refused unread.
         status: the HTTP status of the latest reply.
         length: the body's length in the latest reply.
@@ -50,6 +52,7 @@
         self.closed = self.evicted = self.client_disconnected = False
         self.state_since_us = 0
         self.context: Any = None
+        self.close_reason: CloseReason | None = None
         self.rejected_target = b""
         self.status = self.length = 0
         self.chunked = False
@@ -57,6 +60,8 @@
         self.write_blocked = False
         self._pending = PendingInput(clients)
         self._rejection: Rejection | None = None  # sent once what came before it is answered
+        self._unread_since_us = 0  # since when what is read next may have waited with the system
+        self._resumed_us = 0  # when reading was resumed last
         self._unsent_bytes = self._unsent_since_us = 0  # at the latest look, and since when it is so
 
     @property
@@ -78,6 +83,22 @@
         """Tell whether the client has sent, or begun to send, what is not its turn yet."""
         return bool(self._pending or self._parser.message is not None or self._rejection is not None)
 
+    def owes_answer(self) -> bool:
+        """Tell whether a request was read, in part or whole, whose reply has not begun.
+
+        One that is refused has its reply written, or waits for those before it.
+        """
+        if self.client_disconnected or self.ended:
+            return False
+        waits = self.current is not None and self.source is None
+        return bool(waits or self.pipelined or self._rejection or self._parser.message is not None)
+
+    def call_ids(self) -> str:
+        """Return the call ids of the requests that were read and have no answer, for the log."""
+        open_requests = [self.current, *self.pipelined, self._parser.message]
+        ids = [m.headers.get(b"x-call-id", b"-") for m in open_requests if m is not None]
+        return b",".join(ids).decode("latin-1")
+
     def write_stalled(self, now_us: int) -> bool:
         """Tell whether the client has read nothing of what waits for it here or with the system for long.
 
--- a/umberlead/net/dialing.py
+++ b/umberlead/net/dialing.py
@@ -9,8 +9,8 @@
 from typing import Protocol
 
 from umberlead.config import Address
-from umberlead.core.engine import Attempt
 from umberlead.core.interface import Result
+from umberlead.core.requests import Attempt
 from umberlead.core.slots import Slots
 from umberlead.limits import LOCAL_RESOURCE_ERRNOS
 from umberlead.net.node_connection import NodeConnection
--- a/umberlead/net/node_connection.py
+++ b/umberlead/net/node_connection.py
@@ -8,8 +8,8 @@
 from typing import cast
 
 from umberlead.config import Address
-from umberlead.core.engine import Attempt, Reply
 from umberlead.core.interface import Result
+from umberlead.core.requests import Attempt, Reply
 from umberlead.core.wheel import Timer
 from umberlead.net.node_protocol import OutgoingRequest, decode_reply, encode_request, result_of_reply
 from umberlead.net.pool_interface import ConnectionPool
@@ -99,12 +99,12 @@
         self.pool.came_up(self)
         if self.attempt is None:
             return self.pool.put_unused(self)
-        if not self.pool.takes_new(self.attempt.node):
-            self.pool.counters.add("node_connections_too_late")  # it drains, or went, while this came up
-            return self.give_up(Result.MOOT)
-        if not self.pool.client_waits(self.attempt.ticket):
-            return self.give_up(Result.MOOT)
-        self.send_request()
+        denial = self.pool.may_write(self.attempt)
+        if denial is None:
+            return self.send_request()
+        self.pool.counters.add("node_connections_too_late")
+        self.pool.counters.add(f"attempts_barred_{denial.value}")
+        self.give_up(Result.MOOT)
 
     def send_request(self) -> None:
         """Write the attempt's request."""
@@ -114,6 +114,7 @@
         request: OutgoingRequest = attempt.ticket.ask.payload
         self.written = False
         budget_us = attempt.give_up - self.pool.clock()
+        self.pool.on_write(attempt, budget_us)
         transport.writelines(encode_request(request, self.pool.host_line, budget_us))
         if not self.write_paused and not transport.is_closing():
             self._mark_written()
--- a/umberlead/net/node_pool.py
+++ b/umberlead/net/node_pool.py
@@ -6,8 +6,10 @@
 
 from umberlead.config import Address
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Attempt, Engine, Ticket
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Result
+from umberlead.core.requests import Attempt
+from umberlead.core.send_guard import Denial
 from umberlead.core.slots import Slots
 from umberlead.core.wheel import Wheel
 from umberlead.limits import BODY_MOST, HEAD_MOST
@@ -56,8 +58,8 @@
         self.addresses: dict[str, Address] = {}
         self.node_counts: dict[Address, int] | None = None
         self.idle: dict[Address, list[NodeConnection]] = {}
-        self.takes_new: Callable[[str], bool] = lambda node: True
-        self.client_waits: Callable[[Ticket], bool] = lambda ticket: True
+        self.may_write: Callable[[Attempt], Denial | None] = lambda attempt: None
+        self.on_write: Callable[[Attempt, int], None] = lambda attempt, budget_us: None
         self.reset_probability = 0.0
         self.slots: Slots[NodeConnection] = Slots()
         self.memory_limit_bytes, self.held_bytes = BODY_MOST, 0
@@ -102,7 +104,7 @@
         """Connect once more for an attempt of which nothing was sent."""
         if self.node_counts is not None and address not in self.node_counts:
             return self.engine.ended(attempt, Result.NO_LINK)  # it has left the list meanwhile
-        if not self.takes_new(attempt.node):
+        if self.may_write(attempt) is not None:
             return self.engine.ended(attempt, Result.MOOT)
         self._dial(attempt, address)
 
--- a/umberlead/net/pool_interface.py
+++ b/umberlead/net/pool_interface.py
@@ -5,7 +5,9 @@
 
 from umberlead.config import Address
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Attempt, Engine, Ticket
+from umberlead.core.engine import Engine
+from umberlead.core.requests import Attempt
+from umberlead.core.send_guard import Denial
 from umberlead.core.wheel import Wheel
 
 ConnectionT = TypeVar("ConnectionT", contravariant=True)
@@ -35,12 +37,12 @@
     max_head_bytes: int
 
     @property
-    def takes_new(self) -> Callable[[str], bool]:
-        """Tells whether a node takes new requests, by the list as it stands."""
+    def may_write(self) -> Callable[[Attempt], Denial | None]:
+        """Tells why an attempt may not be written now; None lets it."""
 
     @property
-    def client_waits(self) -> Callable[[Ticket], bool]:
-        """Tells whether a request's client is there still."""
+    def on_write(self) -> Callable[[Attempt, int], None]:
+        """Is told of an attempt as its first byte is written, and what time it is told to take (us)."""
 
     def came_up(self, conn: ConnectionT) -> None:
         """A dial has come up."""
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -5,12 +5,15 @@
 from typing import Protocol, cast
 
 from umberlead.net.client_connections import Clients
+from umberlead.net.close_reason import CloseReason
 from umberlead.net.connection_state import ConnectionState
 from umberlead.net.http_message import BODYLESS_STATUSES, Message, Rejection, encode_head
 from umberlead.net.relay import BodySource, Relay
 from umberlead.net.request_parser import RequestParser
 from umberlead.net.socket_state import DISCONNECT_EVENTS, SocketState
 
+LARGEST_READ_BYTES = 256_000  # of one read of the event loop: a shorter one leaves nothing unread
+CATCH_UP_US = 50_000  # after reading was resumed, in which what waited meanwhile is read
 MAX_PIPELINED_REQUESTS = 256  # whole requests that may wait, all of one read: later reads wait unparsed
 
 
@@ -69,6 +72,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Give the slot back, and end what was open."""
         self.closed = True
+        self.record_close(CloseReason.CLIENT_LEFT)
         self.clients.slots.free(self.slot)
         self.clients.evicting -= self.evicted
         self.resume_writing()
@@ -94,28 +98,56 @@
         """End it: the client has left by the system's word, and the news of that stands unread."""
         self.clients.counters.add("clients_left_unseen")
         self.disconnect()
+        self.record_close(CloseReason.CLIENT_LEFT)
         self.transport.abort()
 
+    def record_close(self, reason: CloseReason) -> None:
+        """Take note of why the connection ends, once, and check that nothing is owed on it."""
+        if self.close_reason is not None:
+            return
+        self.close_reason = reason
+        self.clients.counters.add(f"clients_closed_{reason.value}")
+        by_client = reason is CloseReason.CLIENT_LEFT
+        if self.clients.on_close is not None:
+            self.clients.on_close(not by_client and self.owes_answer(), reason.value, self.call_ids())
+
     def data_received(self, data: bytes) -> None:
         """Parse what came, or keep it until its turn."""
+        received_us = self._received_us(data)
         if not self.accepts_requests:
             # Read on for a moment, so that the reply is not lost to a reset; but not 60 MB of it.
             self._ignored_bytes += len(data)
             if self._ignored_bytes > self.clients.max_head_bytes and not self.closed:
                 self.transport.pause_reading()
         elif self._pending:
-            self._keep(data)
+            self._keep(data, received_us)
         else:
-            self._parser.feed(data, self.clients.clock())
+            self._parser.feed(data, received_us)
+
+    def _received_us(self, data: bytes) -> int:
+        """Return when bytes that are read now may have come.
 
-    def _keep(self, data: bytes) -> None:
+        Of what waited with the system while nothing was read only that is known: a request's time runs from
+        then, for its client's does.
+        """
+        now_us = self.clients.clock()
+        if not self._unread_since_us:
+            return now_us
+        since_us = self._unread_since_us
+        caught_up = now_us > self._resumed_us + CATCH_UP_US
+        if caught_up or len(data) < LARGEST_READ_BYTES:  # no more of it waits
+            self._unread_since_us = 0
+        return now_us if caught_up else since_us
+
+    def _keep(self, data: bytes, received_us: int) -> None:
         """Read on, or a client that leaves goes unseen; past a head's size `Clients.sweep` looks for that."""
-        self._pending.put(data, self.clients.clock())
+        self._pending.put(data, received_us)
         if self.clients.held_bytes > self.clients.memory_limit_bytes:
             self.clients.counters.add("bodies_over_memory")
             self._pending.discard_unparsed()
             self.refuse(503, "too much is held at present")
         elif self._pending.unparsed_bytes > self.clients.max_head_bytes:
+            self._unread_since_us = self.clients.clock()
             self.transport.pause_reading()
 
     def _parse_read_ahead(self) -> None:
@@ -126,6 +158,7 @@
             self._parser.feed(*self._pending.take())
         caught_up = not (self._pending or self.ended or self.closed)
         if caught_up and not self.transport.is_reading():
+            self._resumed_us = self.clients.clock()
             self.transport.resume_reading()
 
     def eof_received(self) -> bool:
@@ -247,7 +280,7 @@
 
     def response_head(self, status: int, headers: Iterable[bytes], length: int | None) -> list[bytes]:
         """Begin a reply to the open request, and return the pieces of its head."""
-        if not self.has_more_input() and self._closes_with_this_reply():
+        if self._closes_with_this_reply() and not (self.has_more_input() or self.has_unread_request()):
             self.close_after_reply = True
         self.status, self.length = status, length or 0
         date_us = self.clients.clock() if self.handler.sends_date else None
@@ -301,8 +334,9 @@
         self.state_since_us = self.clients.clock()
         if self.closed or self.client_disconnected:
             return
-        if self.close_after_reply or (self.clients.close_after_reply and not self.has_more_input()):
+        if self.close_after_reply:
             self.ended = True
+            self.record_close(CloseReason.ANNOUNCED)
             self._pending.discard()
             if self.transport.can_write_eof():
                 self.transport.write_eof()
@@ -311,6 +345,9 @@
         self._parse_read_ahead()
         if self.clients.refusing:
             self.shut_down()
+        elif self.clients.close_after_reply:
+            # Its reply did not say so: what the client has sent since is served, and nothing is read past it.
+            self.close_if_idle()
 
     # Ends
 
@@ -329,6 +366,7 @@
     def close_if_idle(self) -> None:
         """Close it where it has no request."""
         if self.is_idle() and not self.has_unread_request():
+            self.record_close(CloseReason.DRAIN)
             self.ended = True
             self.transport.close()
 
@@ -348,6 +386,7 @@
         """
         if not (self.chunked or self.length or self.transport.is_closing()):
             self._socket.reset_on_close()
+        self.record_close(CloseReason.BROKEN_OFF)
         self.transport.abort()
 
     def abort_evicted(self) -> None:
@@ -357,6 +396,7 @@
         """
         if self._parser.message is not None and not self.ended:
             self.refuse(503, "too many connections")
+        self.record_close(CloseReason.EVICTED)
         self.ended = True
         self.transport.abort()
 
@@ -368,4 +408,5 @@
                 return
             self.refuse(408, "the request did not come whole in time")
         elif self.ended or not self.has_unread_request():
+            self.record_close(CloseReason.IDLE)
             self.transport.abort()  # a plain close waits for a client that may never read
--- a/umberlead/plugins.py
+++ b/umberlead/plugins.py
@@ -19,8 +19,8 @@
 
 from umberlead.config import ConfigError
 from umberlead.core.counters import Counters
-from umberlead.core.engine import Answer, Ticket
 from umberlead.core.interface import Result
+from umberlead.core.requests import Answer, InFlightRequest
 
 API = 1
 HOOKS = ("request_taken", "outcome", "answer")
@@ -92,14 +92,14 @@
         self.log("plugin_disabled", plugin=plugin.name, hook=hook, why=why)
 
     @staticmethod
-    def _request(ticket: Ticket) -> dict[str, Any]:
+    def _request(ticket: InFlightRequest) -> dict[str, Any]:
         ask = ticket.ask
         return {
             "id": ticket.id, "class": ask.class_name, "plan": ask.plan, "volume": ask.volume, "key": ask.key,
             "shard": ask.shard, "units": ask.units, "notes": dict(ticket.notes),
         }  # fmt: skip
 
-    def taken(self, ticket: Ticket) -> str | None:
+    def taken(self, ticket: InFlightRequest) -> str | None:
         for plugin in self.plugins:
             got = self._call(plugin, "request_taken", self._request(ticket))
             if isinstance(got, str):
@@ -112,12 +112,12 @@
                 self._disable(plugin, "request_taken", f"answered {type(got).__name__}")
         return None
 
-    def outcome(self, ticket: Ticket, node: str, result: Result, elapsed: int) -> None:
+    def outcome(self, ticket: InFlightRequest, node: str, result: Result, elapsed: int) -> None:
         for plugin in self.plugins:
             told = {"node": node, "result": result.value, "elapsed_us": elapsed, "attempt": ticket.tries - 1}
             self._call(plugin, "outcome", self._request(ticket), told)
 
-    def answer(self, ticket: Ticket, answer: Answer) -> None:
+    def answer(self, ticket: InFlightRequest, answer: Answer) -> None:
         for plugin in self.plugins:
             told = {"kind": answer.kind.value, "reason": answer.reason, "attempts": ticket.tries}
             self._call(plugin, "answer", self._request(ticket), told)
--- a/umberlead/rooms/joined.py
+++ b/umberlead/rooms/joined.py
@@ -8,8 +8,9 @@
 
 from umberlead import config
 from umberlead.core import interface as api
-from umberlead.core.engine import Answer, Attempt, Engine, Hooks, Kind, Refused, Ticket
+from umberlead.core.engine import Engine
 from umberlead.core.interface import Result
+from umberlead.core.requests import Answer, Attempt, Hooks, InFlightRequest, Kind, Refused
 from umberlead.rooms.director import Director, Refusal
 from umberlead.rooms.model import Rules, State, Verdict
 
@@ -57,13 +58,13 @@
     def listed(self, news: api.NodeList) -> api.NodeList:
         return self.director.listed(self.clock(), news)
 
-    def sent(self, ticket: Ticket, node: str) -> None:
+    def sent(self, ticket: InFlightRequest, node: str) -> None:
         if self.director.sent(self.clock(), ticket.id, node):
             self.engine.soon(self._tell)  # not now: the attempt is not with its carrier yet
 
     # The hooks
 
-    def taken(self, ticket: Ticket) -> str | Refused | None:
+    def taken(self, ticket: InFlightRequest) -> str | Refused | None:
         reason = self.inner.taken(ticket) if self.inner else None
         if reason is not None:
             return reason
@@ -80,7 +81,7 @@
         self.engine.counters.add("rooms_spilled", int(got.spill))
         return None
 
-    def outcome(self, ticket: Ticket, node: str, result: Result, elapsed: int) -> None:
+    def outcome(self, ticket: InFlightRequest, node: str, result: Result, elapsed: int) -> None:
         if self.inner:
             self.inner.outcome(ticket, node, result, elapsed)
         self.director.ended(
@@ -88,7 +89,7 @@
         )  # fmt: skip
         self._tell()
 
-    def answer(self, ticket: Ticket, answer: Answer) -> None:
+    def answer(self, ticket: InFlightRequest, answer: Answer) -> None:
         if self.inner:
             self.inner.answer(ticket, answer)
         self.director.answered(
@@ -115,7 +116,7 @@
         dark: set[int] = {self.director.nodes[n].shard for n in lost}
         dark = {shard for shard in dark if self.director.dark(shard)}
 
-        def waits(ticket: Ticket) -> bool:
+        def waits(ticket: InFlightRequest) -> bool:
             return ticket.ask.shard in dark
 
         wait = self.director.rules.come_back + self.director.rules.hold
