--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check demo run rehearse front planted-moments bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual bench-news bench-leaving bench-cold-ramp clean
+.PHONY: build test lint check demo run rehearse front planted-moments bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways bench-virtual bench-news bench-leaving bench-cold-ramp soak clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -116,5 +116,11 @@
 bench-leaving: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.leaving --keep
 
+# Real processes under overlapping troubles, judged by invariants; half a minute a run. SOAK="--seed 3 --runs 10 --seconds 60
+# --trouble clock_step --keep FOLDER --verbose": seed, length, troubles, records.
+SOAK ?= --verbose
+soak: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m umberlead.standins.soak $(SOAK)
+
 clean:
 	rm -rf .venv $(DEV) $(FULL) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,114 @@
+"""The soak test: its judge and its plan, and one short run of fixed seed."""
+
+from pathlib import Path
+from typing import Any
+
+from umberlead.standins.soak.judge import Evidence, Limits, judge
+from umberlead.standins.soak.plan import FRONT_ENDS, FRONT_ENDS_SECONDS, Size, Trouble, draw
+from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, Writer, read
+
+SECOND = 1_000_000_000
+LIMITS = Limits(frozenset(("store",)), 3, 10.0, 0.2, 2 * SECOND, 8 * SECOND, 1.0)
+
+
+def client(id_: str = "a", **changed: Any) -> ClientRecord:
+    row: dict[str, Any] = {
+        "id": id_, "front": "f0", "kind": "fresh", "class_name": "store", "budget": 1.0, "used": 0,
+        "behind": 0,
+        "connected": 10 * SECOND, "sent_first": 10 * SECOND, "sent_last": 10 * SECOND,
+        "ended": 11 * SECOND, "end": "answered", "status": 200,
+    }  # fmt: skip
+    return ClientRecord(**(row | changed))
+
+
+def node(id_: str = "a", first: float = 10.1, **changed: Any) -> NodeRecord:
+    at = int(first * SECOND)
+    row: dict[str, Any] = {
+        "id": id_, "node": "s0#0", "class_name": "store", "units": 1.0, "budget": 0.8, "first": at,
+        "last": at,
+        "late": 0, "ran": True, "closed": at + 1,
+    }  # fmt: skip
+    return NodeRecord(**(row | changed))
+
+
+def rules(**evidence: Any) -> list[str]:
+    return [v.rule for v in judge(Evidence(**evidence), LIMITS)]
+
+
+def test_a_run_that_kept_all_rules_has_no_violation() -> None:
+    assert rules(clients=[client()], nodes=[node()]) == []
+
+
+def test_a_request_without_an_answer_in_time_is_lost() -> None:
+    late = client(ended=12 * SECOND)
+    for row in (late, client(end="eof"), client(end="reset"), client(end="open", ended=0)):
+        assert rules(clients=[row]) == ["lost"], row
+    assert rules(clients=[client(end="eof", used=3)]) == ["lost"]  # it was read, and closed on
+
+
+def test_what_a_client_or_a_kill_ended_is_not_lost() -> None:
+    killed = Event(int(10.5 * SECOND), "front_killed", "f0")
+    assert rules(clients=[client(end="reset")], events=[killed]) == []
+    for row in (client(end="left"), client(sent_last=0), client(end="reset", used=2)):
+        assert rules(clients=[row]) == [], row
+
+
+def test_a_request_that_ran_twice_or_was_sent_too_often_is_found() -> None:
+    twice = [node(), node(first=10.3)]
+    assert rules(nodes=twice) == ["duplicate"]
+    assert rules(nodes=[node(ran=False), node(first=10.3)]) == []
+    four = [node(first=10 + k / 10, class_name="fetch") for k in range(4)]
+    assert rules(nodes=four) == ["attempts"]
+
+
+def test_an_attempt_behind_its_client_s_leaving_is_found() -> None:
+    left = client(end="left", ended=10 * SECOND)
+    assert rules(clients=[left], nodes=[node(first=10.4, budget=0.1)]) == ["client_left"]
+    assert rules(clients=[left], nodes=[node(first=10.05)]) == []
+
+
+def test_a_time_told_beyond_the_client_s_is_found() -> None:
+    assert rules(clients=[client()], nodes=[node(first=10.5, budget=0.9)]) == ["budget"]
+    held = Event(10 * SECOND, "link_stall", "0", 1.0)
+    assert rules(clients=[client()], nodes=[node(first=10.5, budget=0.9)], events=[held]) == []
+
+
+def test_an_attempt_at_a_server_that_drains_or_is_out_by_hand_is_found() -> None:
+    drains = Event(10 * SECOND, "node_drains", "s0#0")
+    assert rules(nodes=[node(first=12.5)], events=[drains]) == ["drain"]
+    assert rules(nodes=[node(first=11.9)], events=[drains]) == []
+    out, back = Event(10 * SECOND, "node_out", "s0#0"), Event(13 * SECOND, "node_back", "s0#0")
+    assert rules(nodes=[node(first=12.0)], events=[out, back]) == ["drain"]
+    assert rules(nodes=[node(first=13.1)], events=[out, back]) == []
+
+
+def test_a_cold_server_that_gets_more_than_it_bears_is_found() -> None:
+    started = Event(10 * SECOND, "node_started", "s0#0")
+    bound = int(10 + 3 * 10**0.5 + 3)
+    rows = [node(str(k), 10 + k / 1000) for k in range(bound + 1)]
+    assert rules(nodes=rows, events=[started]) == ["slow_start"]
+    assert rules(nodes=rows[:-1], events=[started]) == []
+
+
+def test_a_plan_is_drawn_from_its_seed_and_overlaps_troubles() -> None:
+    size = Size()
+    plan = draw(3, 40.0, size)
+    assert plan == draw(3, 40.0, size) != draw(4, 40.0, size)
+    overlaps = [sum(a.begin <= b.begin < a.end for a in plan) for b in plan]
+    assert max(overlaps) >= 3 and sum(n >= 2 for n in overlaps) > len(plan) / 2
+    assert {i.trouble for seed in range(20) for i in draw(seed, 40.0, size)} == set(Trouble)
+    for seed in range(20):
+        ends = [i for i in draw(seed, 60.0, size) if i.trouble in FRONT_ENDS]
+        for earlier, later in zip(ends, ends[1:], strict=False):
+            same = earlier.target == later.target
+            assert not same or later.begin >= earlier.begin + FRONT_ENDS_SECONDS
+
+
+def test_a_record_half_written_at_a_kill_is_passed_by(tmp_path: Path) -> None:
+    path = tmp_path / "events.jsonl"
+    writer = Writer(path)
+    event = Event(1, "front_killed", "f0")
+    writer.add(event)
+    with open(path, "ab") as file:
+        file.write(b'{"at":2,"what":"fro')
+    assert list(read(path, Event)) == [event]
--- /dev/null
+++ b/umberlead/standins/soak/__main__.py
@@ -0,0 +1,59 @@
+"""`python -m umberlead.standins.soak`: play soak runs and print their verdicts."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from umberlead.standins.soak.plan import Size, Trouble
+from umberlead.standins.soak.run import Verdict, play
+
+SHOWN_COUNTERS = ("invariant_", "unexpected_", "module_errors", "clients_closed_", "attempts_barred_")
+
+
+def show(seed: int, verdict: Verdict, verbose: bool) -> None:
+    """Print a verdict."""
+    if verbose:
+        click.echo("troubles: " + ", ".join(f"{k} {n}" for k, n in sorted(verdict.troubles.items())))
+        click.echo("requests: " + ", ".join(f"{k} {n}" for k, n in sorted(verdict.counts.items())))
+        shown = {k: n for k, n in sorted(verdict.counters.items()) if k.startswith(SHOWN_COUNTERS)}
+        click.echo("counters: " + ", ".join(f"{k} {n}" for k, n in shown.items()))
+    for violation in verdict.violations:
+        click.echo(f"seed {seed}: {violation.rule}: {violation.what}")
+    total = sum(verdict.counts.values())
+    word = f"{len(verdict.violations)} violations" if verdict.violations else "all kept"
+    click.echo(f"seed {seed}: {word}, {total} requests, {verdict.injected} system calls failed by order")
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="The first run's seed.")
+@click.option("--runs", default=1, show_default=True, help="How many runs, each with the next seed.")
+@click.option("--seconds", default=30.0, show_default=True, help="How long clients ask.")
+@click.option("--fronts", default=5, show_default=True)
+@click.option("--nodes", default=8, show_default=True, help="Chunk servers, each with a proxy.")
+@click.option("--clients", default=5, show_default=True, help="Processes of clients.")
+@click.option(
+    "--trouble", "names", multiple=True, type=click.Choice([t.value for t in Trouble]), help="Only these."
+)
+@click.option("--keep", type=click.Path(path_type=Path), help="A folder for the records and logs.")
+@click.option("--verbose", is_flag=True)
+def main(
+    seed: int, runs: int, seconds: float, fronts: int, nodes: int, clients: int, names: tuple[str, ...],
+    keep: Path | None, verbose: bool,
+) -> None:  # fmt: skip
+    """Play soak runs; exits with 1 where a rule was broken."""
+    troubles = [Trouble(name) for name in names] or list(Trouble)
+    failed = False
+    for number in range(seed, seed + runs):
+        with tempfile.TemporaryDirectory() as made:
+            folder = keep / str(number) if keep is not None else Path(made)
+            folder.mkdir(parents=True, exist_ok=True)
+            verdict = play(folder, number, seconds, Size(fronts, nodes, clients), troubles)
+        show(number, verdict, verbose)
+        failed |= bool(verdict.violations)
+    sys.exit(failed)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/umberlead/standins/soak/client.py
@@ -0,0 +1,334 @@
+"""Clients of one soak run, as a process.
+
+`python -m umberlead.standins.soak.client SEED SECONDS RATE SHARDS FILE
+FRONT=ADDRESS...`.
+
+Each client asks one front on a connection of its own and behaves in one way, well or badly. All write down
+what they sent, when, and how it ended.
+"""
+
+import asyncio
+import random
+import socket
+import struct
+import sys
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+from typing import cast
+
+import httptools
+import uvloop
+
+from umberlead.standins.soak.records import ClientRecord, Writer
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CROSSING_SECONDS = 0.05  # behind an end, in which a reset shows that what was sent went unread
+PATIENCE_SECONDS = 1.5  # behind a request's time, until which its answer is still looked for
+CONNECT_SECONDS = 2.0
+MAX_PIPELINED = 5
+CLIENT_RATE = 4.0  # requests a second of one client
+BUDGETS = (0.3, 0.6, 1.5, 2.5)
+
+
+class Kind(Enum):
+    """How a client behaves."""
+
+    STEADY = "steady"  # one request at a time on a kept connection
+    FRESH = "fresh"  # a new connection for each request
+    RESTING = "resting"  # rests between requests, until the front ends the connection or it asks again
+    PIPELINE = "pipeline"  # several requests at once
+    SLOW = "slow"  # writes in pieces
+    LEAVER = "leaver"  # closes, resets or ends its sending while its request is open
+    HALF = "half"  # sends half a request and stays
+
+
+KINDS = (
+    *[Kind.STEADY] * 6, *[Kind.FRESH] * 5, *[Kind.RESTING] * 3, *[Kind.PIPELINE] * 2, Kind.SLOW,
+    *[Kind.LEAVER] * 3, Kind.HALF,
+)  # fmt: skip
+
+
+@dataclass(slots=True)
+class Sent:
+    """A request that was written, and what became of it."""
+
+    id: str
+    class_name: str
+    budget: float
+    used: int
+    behind: int
+    sent_first: int = 0
+    sent_last: int = 0
+    ended: int = 0
+    end: str = "open"
+    status: int = 0
+    sound: bool = True
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def finish(self, end: str, status: int = 0, sound: bool = True) -> None:
+        """Note the end, once."""
+        if self.end == "open":
+            self.end, self.status, self.sound = end, status, sound
+            self.ended = time.monotonic_ns()
+            self.done.set()
+
+
+class Connection(asyncio.Protocol):
+    """A connection to a front: requests in order, answers in the same order."""
+
+    def __init__(self) -> None:
+        """Begin before the connection is made."""
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.connected = 0
+        self.waiting: list[Sent] = []
+        self.served = 0
+        self.closing = self.ended = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note when it came up."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)
+        self.connected = time.monotonic_ns()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse answers."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._end("spoilt")
+            self.transport.abort()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of an answer's body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Give the oldest request its answer."""
+        status = self._parser.get_status_code()
+        body, self._body = self._body, b""
+        if status < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self.closing = True
+        if self.waiting:
+            request = self.waiting.pop(0)
+            sound = status != 200 or body.startswith(request.id.encode())
+            request.finish("answered", status, sound)
+            self.served += 1
+        if self.closing:
+            self._end("closing")
+
+    def eof_received(self) -> bool:
+        """Look whether a reset follows: then what was sent last was not read."""
+        self.ended = True
+        asyncio.get_running_loop().call_later(CROSSING_SECONDS, self._crossed)
+        return True
+
+    def _crossed(self) -> None:
+        self._end("eof")
+        self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End what waits."""
+        self.ended = True
+        self._end("reset" if exc is not None else "eof")
+
+    def _end(self, end: str) -> None:
+        for request in self.waiting:
+            request.finish(end)
+        self.waiting.clear()
+
+    def usable(self) -> bool:
+        """Tell whether another request can go out on it."""
+        return not (self.closing or self.ended or self.transport.is_closing())
+
+    def reset(self) -> None:
+        """Close it with a reset."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
+
+class Clients:
+    """All clients of the process."""
+
+    def __init__(self, seed: int, record: Writer, fronts: dict[str, tuple[str, int]], shards: int) -> None:
+        """Ask `fronts`, by name, for data of `shards`, drawn from `seed`."""
+        self.chance = random.Random(f"clients/{seed}")
+        self.record, self.fronts, self.shards, self.seed = record, fronts, shards, seed
+        self.number = 0
+
+    def request(self, connection: Connection, behind: int, budget: float) -> tuple[Sent, bytes]:
+        """Draw a request; return it and its bytes."""
+        chance = self.chance
+        self.number += 1
+        id_ = f"{self.seed:04x}{self.number:012x}"
+        write = chance.random() < 0.4
+        class_name = "store" if write else "fetch"
+        sent = Sent(id_, class_name, budget, connection.served, behind)
+        shard = chance.randrange(self.shards) if not write or chance.random() < 0.5 else -1
+        units = chance.choice((1, 1, 2, 3))
+        body = b"b" * chance.randrange(2000) if write else b""
+        volume = chance.randrange(12)
+        head = (
+            f"{'PUT' if write else 'GET'} /{class_name}?block={chance.getrandbits(64):016x} HTTP/1.1\r\n"
+            f"Host: s\r\nX-Call-Id: {id_}\r\nX-Plan: basic\r\nX-Budget: {sent.budget:.3f}\r\n"
+            f"X-IO: volume={volume:016x},units={units},shard={shard},hosts=1\r\n"
+        )
+        if write:
+            head += f"Content-Length: {len(body)}\r\n"
+        return sent, head.encode() + b"\r\n" + body
+
+    def write_down(self, front: str, kind: Kind, connection: Connection, sent: Sent) -> None:
+        """Record a request that has ended, or will not."""
+        self.record.add(
+            ClientRecord(
+                sent.id, front, kind.value, sent.class_name, sent.budget, sent.used, sent.behind,
+                connection.connected, sent.sent_first, sent.sent_last, sent.ended, sent.end, sent.status,
+                sent.sound,
+            )
+        )  # fmt: skip
+
+    async def live(self, kind: Kind, rate: float, until: float) -> None:
+        """Be one client until then, asking `rate` times a second in the mean."""
+        loop = asyncio.get_running_loop()
+        front = self.chance.choice(sorted(self.fronts))
+        connection: Connection | None = None
+        while loop.time() < until:
+            await asyncio.sleep(self.chance.expovariate(rate))
+            if kind is Kind.RESTING:
+                await asyncio.sleep(self.chance.uniform(0.0, 3.0))
+            if connection is not None and not connection.usable():
+                connection = None
+            if connection is None:
+                connection = await self._connect(front)
+            if connection is None:
+                front = self.chance.choice(sorted(self.fronts))
+                continue
+            if connection.usable():
+                await self._ask(kind, front, connection)
+            if kind in (Kind.FRESH, Kind.LEAVER, Kind.HALF):
+                connection.transport.close()
+                connection = None
+        if connection is not None:
+            connection.transport.close()
+
+    async def _connect(self, front: str) -> Connection | None:
+        loop = asyncio.get_running_loop()
+        connection = Connection()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await loop.create_connection(lambda: connection, *self.fronts[front])
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.05)
+            return None
+        return connection
+
+    async def _ask(self, kind: Kind, front: str, connection: Connection) -> None:
+        count = self.chance.randint(2, MAX_PIPELINED) if kind is Kind.PIPELINE else 1
+        budget = self.chance.choice(BUDGETS)  # one for all: an answer waits for those before it
+        made = [self.request(connection, behind, budget) for behind in range(count)]
+        sent = [request for request, _ in made]
+        data = b"".join(part for _, part in made)
+        now = time.monotonic_ns()
+        for request in sent:
+            request.sent_first = now
+        connection.waiting += sent
+        whole = kind is not Kind.HALF
+        if kind is Kind.HALF:
+            await self._send_half(connection, data)
+        elif kind is Kind.SLOW:
+            whole = await self._send_slowly(connection, data)
+        else:
+            connection.transport.write(data)
+        if (
+            whole
+            and not connection.transport.is_closing()
+            and not connection.transport.get_write_buffer_size()
+        ):
+            now = time.monotonic_ns()
+            for request in sent:
+                request.sent_last = now
+        if kind is Kind.LEAVER:
+            await self._leave(connection, sent[0])
+        for request in sent:
+            await self._wait(request)
+            self.write_down(front, kind, connection, request)
+
+    async def _wait(self, request: Sent) -> None:
+        """Wait for an answer, up to some time behind the request's own."""
+        if request.done.is_set():
+            return
+        elapsed = (time.monotonic_ns() - (request.sent_last or request.sent_first)) / 1e9
+        left = max(request.budget + PATIENCE_SECONDS - elapsed, 0.01)
+        try:
+            async with asyncio.timeout(left):
+                await request.done.wait()
+        except TimeoutError:
+            pass
+
+    async def _send_half(self, connection: Connection, data: bytes) -> None:
+        connection.transport.write(data[: self.chance.randrange(1, len(data))])
+        await asyncio.sleep(self.chance.uniform(1.0, 4.0))
+
+    async def _send_slowly(self, connection: Connection, data: bytes) -> bool:
+        """Return whether all of it was written."""
+        pieces = self.chance.randint(2, 8)
+        size = len(data) // pieces + 1
+        for at in range(0, len(data), size):
+            if connection.transport.is_closing():
+                return False
+            connection.transport.write(data[at : at + size])
+            await asyncio.sleep(self.chance.uniform(0.0, 0.06))
+        return True
+
+    async def _leave(self, connection: Connection, request: Sent) -> None:
+        try:
+            async with asyncio.timeout(self.chance.uniform(0.0, 0.15)):
+                await request.done.wait()
+            return
+        except TimeoutError:
+            pass
+        connection.waiting.clear()
+        how = self.chance.random()
+        request.finish("left")
+        if how < 0.4:
+            connection.reset()
+        elif how < 0.7 and connection.transport.can_write_eof():
+            connection.transport.write_eof()
+        else:
+            connection.transport.close()
+
+
+async def run(clients: Clients, seconds: float, rate: float) -> None:
+    """Be all clients of this process, `rate` requests a second together, for so long."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    kinds = [clients.chance.choice(KINDS) for _ in range(max(int(rate / CLIENT_RATE), 1))]
+    await asyncio.gather(*(clients.live(kind, CLIENT_RATE, until) for kind in kinds))
+
+
+def _fronts(words: list[str]) -> dict[str, tuple[str, int]]:
+    found = {}
+    for word in words:
+        name, _, address = word.partition("=")
+        host, _, port = address.rpartition(":")
+        found[name] = (host, int(port))
+    return found
+
+
+def main(words: list[str]) -> None:
+    """Run the clients that the words describe."""
+    seed, seconds, rate, shards, path, *fronts = words
+    clients = Clients(int(seed), Writer(Path(path)), _fronts(fronts), int(shards))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(clients, float(seconds), float(rate)))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/umberlead/standins/soak/fleet.py
@@ -0,0 +1,208 @@
+"""The processes of a soak run: started, ordered about, ended, and looked at."""
+
+import asyncio
+import mmap
+import os
+import signal
+import struct
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+START_SECONDS = 30.0  # in which a process must be ready
+READY_LOOK_SECONDS = 0.03
+CALL_SECONDS = 1.0  # for an operator's call
+FAULTS_SOURCE = Path(__file__).with_name("faults.c")
+FAULTS_FORMAT = struct.Struct("<q12iq256s")  # `struct faults`
+MODULE = "umberlead.standins.soak"
+
+
+class StartError(RuntimeError):
+    """A process did not come up; the text has its last lines."""
+
+
+def build_faults(folder: Path) -> Path:
+    """Compile the library of failing system calls.
+
+    Raises:
+        CalledProcessError: it does not compile.
+    """
+    library = folder / "faults.so"
+    call = ["cc", "-O2", "-shared", "-fPIC", "-o", str(library), str(FAULTS_SOURCE), "-ldl"]
+    subprocess.run(call, check=True, capture_output=True)
+    return library
+
+
+@dataclass(slots=True)
+class SystemFaults:
+    """What fails in one process; see `struct faults` in faults.c. Rates are parts of 1000."""
+
+    clock_step_ns: int = 0
+    accept_rate: int = 0
+    accept_errno: int = 0
+    socket_rate: int = 0
+    socket_errno: int = 0
+    connect_rate: int = 0
+    connect_errno: int = 0
+    short_rate: int = 0
+    eintr_rate: int = 0
+    break_rate: int = 0
+    break_errno: int = 0
+    folder_rate: int = 0
+    folder_errno: int = 0
+
+
+class FaultsFile:
+    """The mapped file through which a process is told what fails."""
+
+    def __init__(self, path: Path, folder: Path) -> None:
+        """Make it at `path`; writes under `folder` may fail."""
+        self.path, self.faults = path, SystemFaults()
+        self._folder = str(folder).encode()
+        path.write_bytes(bytes(FAULTS_FORMAT.size))
+        with open(path, "r+b") as file:
+            self._map = mmap.mmap(file.fileno(), FAULTS_FORMAT.size)
+        self.apply()
+
+    def apply(self) -> None:
+        """Put the present faults in force."""
+        f = self.faults
+        values = (
+            f.clock_step_ns, f.accept_rate, f.accept_errno, f.socket_rate, f.socket_errno, f.connect_rate,
+            f.connect_errno, f.short_rate, f.eintr_rate, f.break_rate, f.break_errno, f.folder_rate,
+            f.folder_errno,
+        )  # fmt: skip
+        self._map[:] = FAULTS_FORMAT.pack(*values, self.injected(), self._folder)
+
+    def injected(self) -> int:
+        """Return how many calls failed so far."""
+        return int(FAULTS_FORMAT.unpack(self._map[:])[13])
+
+
+@dataclass(slots=True)
+class Child:
+    """A helper process that says that it is ready, and takes orders."""
+
+    name: str
+    process: asyncio.subprocess.Process
+
+    def order(self, **order: Any) -> None:
+        """Send an order."""
+        if self.process.returncode is None and self.process.stdin is not None:
+            self.process.stdin.write(msgspec.json.encode(order) + b"\n")
+
+    def kill(self) -> None:
+        """Kill it."""
+        if self.process.returncode is None:
+            self.process.kill()
+
+
+async def start_child(name: str, module: str, *words: str) -> Child:
+    """Start a process of this package and wait until it is ready.
+
+    Raises:
+        StartError: it ended instead.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", f"{MODULE}.{module}", *words,
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    assert process.stdout is not None
+    if not await process.stdout.readline():
+        raise StartError(f"{module} {name} did not start")
+    return Child(name, process)
+
+
+@dataclass(slots=True, eq=False)
+class FrontProcess:
+    """One process of a front.
+
+    Attributes:
+        front: the front's name.
+        management: where its operators call.
+        faults: what fails in it.
+        ends: whether it was told to end, or killed.
+        ready_seconds: what it took to be ready; None before.
+    """
+
+    front: str
+    management: str
+    process: asyncio.subprocess.Process
+    faults: FaultsFile
+    log: Path
+    started: float = field(default_factory=time.monotonic)
+    ends: bool = False
+    killed: bool = False
+    ready_seconds: float | None = None
+
+    async def call(self, method: str, path: str) -> int:
+        """Make an operator's call; return its status, 0 where none came."""
+        return await asyncio.get_running_loop().run_in_executor(None, self._call, method, path)
+
+    def _call(self, method: str, path: str) -> int:
+        request = urllib.request.Request(f"http://{self.management}{path}", method=method)
+        try:
+            with urllib.request.urlopen(request, timeout=CALL_SECONDS) as answer:
+                return int(answer.status)
+        except urllib.error.HTTPError as fault:
+            return fault.code
+        except OSError:
+            return 0
+
+    async def ready(self) -> None:
+        """Wait until it says that it is ready.
+
+        Raises:
+            StartError: it ended, or takes too long.
+        """
+        while await self.call("GET", "/control/ready") != 200:
+            late = time.monotonic() > self.started + START_SECONDS
+            if late or self.process.returncode is not None:
+                tail = self.log.read_text(errors="replace")[-2000:]
+                raise StartError(f"{self.front}: exit {self.process.returncode}, {tail}")
+            await asyncio.sleep(READY_LOOK_SECONDS)
+        self.ready_seconds = time.monotonic() - self.started
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def descriptors(self) -> int:
+        """Count its descriptors; 0 once it has ended."""
+        try:
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return 0
+
+    def memory_mb(self) -> float:
+        """Return its resident memory; 0 once it has ended."""
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+
+async def start_front(
+    name: str, env: dict[str, str], management: str, faults: FaultsFile, library: Path, log: Path
+) -> FrontProcess:
+    """Start a process of a front; it is not ready yet."""
+    file: BinaryIO
+    with open(log, "ab") as file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "umberlead",
+            stderr=file, stdout=file, stdin=asyncio.subprocess.DEVNULL,
+            env=os.environ | env | {
+                "EDGE_NAME": name, "EDGE_MANAGEMENT": management, "LD_PRELOAD": str(library),
+                "FAULTS_FILE": str(faults.path),
+            },
+        )  # fmt: skip
+    return FrontProcess(name, management, process, faults, log)
--- /dev/null
+++ b/umberlead/standins/soak/lists.py
@@ -0,0 +1,141 @@
+"""Discovery of the soak test: each front's agent, which answers at once with what it has been sent."""
+
+import asyncio
+import json
+import re
+import time
+from dataclasses import dataclass
+from typing import Any, cast
+
+import httptools
+
+BEAT_SECONDS = 2.0  # between empty lines of a watch
+TOLD_AFTER_SILENCE_SECONDS = 6.0  # after a watch fell silent, by which what it misses counts as told
+
+
+@dataclass(slots=True)
+class Entry:
+    """A chunk server as a list tells of it."""
+
+    name: str
+    address: str
+    group: int
+    status: str = "ready"
+    since_ms: int = 0
+
+    def shown(self) -> dict[str, Any]:
+        """Return it in discovery's form."""
+        return {
+            "name": self.name, "address": self.address, "group": self.group, "status": self.status,
+            "since_ms": self.since_ms, "zone": "a", "type": "m", "weight": 1.0,
+        }  # fmt: skip
+
+
+class Watcher(asyncio.Protocol):
+    """A front's connection to its agent."""
+
+    def __init__(self, agent: "Agent") -> None:
+        """Serve it by `agent`."""
+        self.agent = agent
+        self.target = b""
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self._parser = httptools.HttpRequestParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.agent.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget it."""
+        self.agent.connections.discard(self)
+        self.agent.watchers.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the call."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self.target += url
+
+    def on_message_complete(self) -> None:
+        """Answer, unless the agent is silent."""
+        if self.agent.silent:
+            return
+        after = re.search(rb"after=([0-9]{1,9})", self.target)
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.agent.watchers.add(self)
+        known = after is not None and int(after[1]) == self.agent.index
+        self.line(b"" if known else self.agent.whole())
+
+    def line(self, text: bytes) -> None:
+        """Write a line."""
+        if not self.transport.is_closing():
+            self.transport.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text))
+
+
+class Agent:
+    """The lists as one front sees them."""
+
+    def __init__(self) -> None:
+        """Begin with an empty list."""
+        self.index = 1
+        self.entries: dict[str, Entry] = {}
+        self.watchers: set[Watcher] = set()
+        self.connections: set[Watcher] = set()
+        self.silent = False
+        self._servers: list[asyncio.Server] = []
+        self.told_by = 0.0  # when, at the latest, what was sent so far counts as told
+
+    async def listen(self, *addresses: tuple[str, int]) -> None:
+        """Answer at all these addresses."""
+        loop = asyncio.get_running_loop()
+        for address in addresses:
+            self._servers.append(await loop.create_server(lambda: Watcher(self), *address))
+
+    def close(self) -> None:
+        """Listen no more, and break what stands."""
+        for server in self._servers:
+            server.close()
+        self.reset()
+
+    def _message(self, entries: list[Entry], whole: bool) -> bytes:
+        shown = [entry.shown() for entry in entries]
+        return json.dumps({"index": self.index, "snapshot": whole, "endpoints": shown}).encode()
+
+    def whole(self) -> bytes:
+        """Return the whole list."""
+        return self._message([e for e in self.entries.values() if e.status != "gone"], True)
+
+    def tell(self, entry: Entry) -> None:
+        """Send a change."""
+        self.index += 1
+        self.entries[entry.name] = entry
+        self.told_by = max(self.told_by, time.monotonic())
+        text = self._message([entry], False)
+        for watcher in list(self.watchers):
+            watcher.line(text)
+
+    def beat(self) -> None:
+        """Send an empty line to whoever still hears."""
+        for watcher in list(self.watchers):
+            watcher.line(b"")
+
+    def fall_silent(self) -> None:
+        """Say nothing any more on what stands, and to what comes."""
+        self.silent = True
+        self.watchers.clear()
+        self.told_by = time.monotonic() + TOLD_AFTER_SILENCE_SECONDS
+
+    def speak(self) -> None:
+        """Answer new calls again."""
+        self.silent = False
+
+    def reset(self) -> None:
+        """Break what stands."""
+        for connection in list(self.connections):
+            connection.transport.abort()
--- /dev/null
+++ b/umberlead/standins/soak/node.py
@@ -0,0 +1,157 @@
+"""A chunk server of the soak test: `python -m umberlead.standins.soak.node ADDRESS NAME FILE`."""
+
+import asyncio
+import random
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from umberlead.standins.soak.processes import Lateness, Orders, RequestReader
+from umberlead.standins.soak.records import NodeRecord, Writer
+
+WORK_SECONDS = 0.004  # mean, of a unit
+IDLE_CLOSE_SECONDS = 3.0  # the keepalive of the settings
+SMALL_BODY = 64  # bytes of an answer beyond its request's id
+FLAWS = ("error", "spoilt", "unsized", "surplus", "interim", "full", "half")
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How the server acts now; changed by orders."""
+
+    hangs: bool = False
+    flaw_rate: float = 0.0
+    work_seconds: float = WORK_SECONDS
+
+
+class Node:
+    """The server: its behaviour, its record and its open connections."""
+
+    def __init__(self, name: str, path: Path) -> None:
+        """Record what comes to the server `name` at `path`."""
+        self.name, self.record = name, Writer(path)
+        self.behaviour = Behaviour()
+        self.lateness = Lateness()
+        self.chance = random.Random(name)
+
+    def order(self, order: dict[str, Any]) -> None:
+        """Change the behaviour."""
+        for key, value in order.items():
+            setattr(self.behaviour, key, value)
+
+
+class NodeConnection(RequestReader):
+    """A connection to the server."""
+
+    def __init__(self, node: Node) -> None:
+        """Serve by `node`."""
+        super().__init__(node.lateness)
+        self.node = node
+        self.open: NodeRecord | None = None
+        self._idle: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close it once it was idle for the whole keepalive."""
+        super().connection_made(transport)
+        self._rest()
+
+    def _rest(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._idle = loop.call_later(IDLE_CLOSE_SECONDS, self.transport.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Write down what its end cut short."""
+        if self._idle is not None:
+            self._idle.cancel()
+        if self.open is not None:
+            self._close_record()
+        elif self.first_ns and self.headers.get(b"x-call-id"):
+            self.node.record.add(self._record(self.headers, self.target, self.first_ns, 0, False))
+
+    def _close_record(self) -> None:
+        row, self.open = self.open, None
+        assert row is not None
+        closed = NodeRecord(
+            row.id, row.node, row.class_name, row.units, row.budget, row.first, row.last, row.late, row.ran,
+            time.monotonic_ns(),
+        )  # fmt: skip
+        self.node.record.add(closed)
+
+    def _record(
+        self, headers: dict[bytes, bytes], target: bytes, first_ns: int, last_ns: int, ran: bool
+    ) -> NodeRecord:
+        io = dict(p.partition("=")[::2] for p in headers.get(b"x-io", b"").decode("latin-1").split(","))
+        return NodeRecord(
+            headers.get(b"x-call-id", b"").decode("latin-1"), self.node.name,
+            target.partition(b"?")[0].strip(b"/").decode("latin-1"), float(io.get("units", "1")),
+            float(headers.get(b"x-budget", b"0")), first_ns, last_ns, self.late_ns, ran,
+        )  # fmt: skip
+
+    def request(
+        self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, first_ns: int
+    ) -> None:
+        """Run a request and answer it, as the behaviour has it."""
+        if self._idle is not None:
+            self._idle.cancel()
+        node = self.node
+        flawed = node.chance.random() < node.behaviour.flaw_rate
+        flaw = node.chance.choice(FLAWS) if flawed else ""
+        ran = flaw != "full"
+        row = self._record(headers, target, first_ns, time.monotonic_ns(), ran)
+        node.record.add(row)  # begun: also where this process is killed before it ends
+        self.open = row
+        if node.behaviour.hangs:
+            return
+        work = node.chance.expovariate(1 / (node.behaviour.work_seconds * row.units))
+        asyncio.get_running_loop().call_later(work, self._answer, row, flaw)
+
+    def _answer(self, row: NodeRecord, flaw: str) -> None:
+        if self.open is not row or self.transport.is_closing() or self.node.behaviour.hangs:
+            return
+        self._close_record()
+        self._write_answer(row, flaw)
+        if not self.transport.is_closing():
+            self._rest()
+
+    def _write_answer(self, row: NodeRecord, flaw: str) -> None:
+        body = row.id.encode() + b"." * SMALL_BODY
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        match flaw:
+            case "error":
+                self.transport.write(b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+            case "full":
+                self.transport.write(b"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+            case "spoilt":
+                self.transport.write(b"HTTP/1.1 2OO Not quite\r\nContent-Length: x\r\n\r\n")
+            case "unsized":
+                self.transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+                self.transport.close()
+            case "surplus":
+                self.transport.write(whole + whole)
+            case "interim":
+                self.transport.write(b"HTTP/1.1 102 Processing\r\n\r\n" + whole)
+            case "half":
+                self.transport.write(whole[:-SMALL_BODY])
+                self.transport.abort()
+            case _:
+                self.transport.write(whole)
+
+
+async def run(address: str, name: str, path: Path) -> None:
+    """Serve at `address` until the orders end."""
+    host, _, port = address.partition(":")
+    node = Node(name, path)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: NodeConnection(node), host, int(port), backlog=512)
+    print("ready", flush=True)
+    orders = Orders(node.order)
+    await orders.follow()
+
+
+if __name__ == "__main__":
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(sys.argv[1], sys.argv[2], Path(sys.argv[3])))
--- /dev/null
+++ b/umberlead/standins/soak/plan.py
@@ -0,0 +1,118 @@
+"""What happens in a run of the soak test: troubles over intervals, drawn from a seed. Free of I/O."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+WARM_UP_SECONDS, QUIET_SECONDS = 2.0, 4.0  # without trouble, at the begin and the end of a run
+SHORTEST_SECONDS, LONGEST_SECONDS = 0.4, 3.0  # of a trouble
+GAP_SECONDS = (0.6, 1.6)  # between the begins of two bundles of troubles
+BUNDLES = (2, 3)  # troubles that overlap
+FRONT_ENDS_SECONDS = (
+    6.5  # in which a front that was told to end, killed or replaced gets no second such trouble
+)
+
+
+class Trouble(Enum):
+    """One kind of trouble; the comment names what it befalls."""
+
+    FRONT_RESTART = "front_restart"  # a front: SIGTERM, then a new process
+    FRONT_KILL = "front_kill"  # a front: SIGKILL, then a new process
+    FRONT_HANDOVER = "front_handover"  # a front: a new process beside it, then SIGTERM
+    FRONT_RELOAD = "front_reload"  # a front: SIGHUP, and lists come from another address
+    FRONT_PAUSE = "front_pause"  # a front: SIGSTOP for up to 0.15 s
+    NODE_DRAIN = "node_drain"  # a chunk server drains, and its successor joins cold
+    NODE_KILL = "node_kill"  # a chunk server is killed, and comes back cold
+    NODE_HANG = "node_hang"  # a chunk server answers nothing
+    NODE_ERRORS = "node_errors"  # a chunk server's answers are errors, spoilt, unsized or surplus
+    NODE_BY_HAND = "node_by_hand"  # a chunk server is taken out by an operator at all fronts, and put back
+    LINK_STALL = "link_stall"  # the way to a chunk server carries nothing
+    LINK_RESET = "link_reset"  # connections on the way to a chunk server are reset
+    LINK_PIECES = "link_pieces"  # messages on the way to a chunk server come in pieces
+    LISTS_SILENT = "lists_silent"  # a front's agent says nothing
+    LISTS_RESET = "lists_reset"  # a front's watch is reset
+    ACCEPT_FAILS = "accept_fails"  # a front's accept fails
+    CONNECT_FAILS = "connect_fails"  # a front's connect or socket fails
+    SHORT_IO = "short_io"  # a front's reads and writes move little, or are interrupted
+    CONNECTIONS_BREAK = "connections_break"  # a front's connections to chunk servers break
+    FOLDER_FAILS = "folder_fails"  # a front's state folder takes no writes
+    CLOCK_STEP = "clock_step"  # a front's wall clock steps
+    CLOCK_STEP_ALL = "clock_step_all"  # the wall clock of all machines steps
+
+
+FRONT_ENDS = (Trouble.FRONT_RESTART, Trouble.FRONT_KILL, Trouble.FRONT_HANDOVER)
+AT_FRONTS = frozenset(
+    (
+        *FRONT_ENDS,
+        Trouble.FRONT_RELOAD,
+        Trouble.FRONT_PAUSE,
+        Trouble.LISTS_SILENT,
+        Trouble.LISTS_RESET,
+        Trouble.ACCEPT_FAILS,
+        Trouble.CONNECT_FAILS,
+        Trouble.SHORT_IO,
+        Trouble.CONNECTIONS_BREAK,
+        Trouble.FOLDER_FAILS,
+        Trouble.CLOCK_STEP,
+    )
+)
+CLOCK_STEPS_SECONDS = (-3600.0, -30.0, -3.0, 3.0, 30.0, 3600.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Interval:
+    """A trouble from `begin` to `end`, in seconds from the start of the load.
+
+    Attributes:
+        target: the number of the front or chunk server that it befalls.
+        variant: which of its forms it takes, from 0 to 1.
+    """
+
+    begin: float
+    end: float
+    trouble: Trouble
+    target: int
+    variant: float
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How many processes a run has; each chunk server has a shard and a proxy of its own."""
+
+    fronts: int = 5
+    nodes: int = 8
+    clients: int = 5
+
+
+def draw(
+    seed: int, seconds: float, size: Size, troubles: Sequence[Trouble] = tuple(Trouble)
+) -> list[Interval]:
+    """Return the troubles of a run by their begins: two or three overlap at any time."""
+    chance, at = random.Random(f"soak/{seed}"), WARM_UP_SECONDS
+    found: list[Interval] = []
+    free_from: dict[tuple[bool, int], float] = {}
+    while at < seconds - QUIET_SECONDS:
+        for _ in range(chance.randint(*BUNDLES)):
+            made = _one(chance, at, size, troubles)
+            if made.trouble in FRONT_ENDS:
+                key = (True, made.target)
+                if free_from.get(key, 0.0) > made.begin:
+                    continue
+                free_from[key] = made.begin + FRONT_ENDS_SECONDS
+            elif made.trouble in (Trouble.NODE_DRAIN, Trouble.NODE_KILL, Trouble.NODE_BY_HAND):
+                key = (False, made.target)
+                if free_from.get(key, 0.0) > made.begin:
+                    continue
+                free_from[key] = made.end + FRONT_ENDS_SECONDS
+            found.append(made)
+        at += chance.uniform(*GAP_SECONDS)
+    return sorted(found, key=lambda interval: interval.begin)
+
+
+def _one(chance: random.Random, at: float, size: Size, troubles: Sequence[Trouble]) -> Interval:
+    trouble = chance.choice(list(troubles))
+    targets = size.fronts if trouble in AT_FRONTS else size.nodes
+    begin = at + chance.uniform(0.0, 0.4)
+    end = begin + chance.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+    return Interval(begin, end, trouble, chance.randrange(targets), chance.random())
--- /dev/null
+++ b/umberlead/standins/soak/processes.py
@@ -0,0 +1,114 @@
+"""What the processes of a soak run share: reading HTTP, orders on standard input, and their own lateness."""
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+PULSE_SECONDS = 0.005  # between looks at this process's own lateness
+
+
+class RequestReader(asyncio.Protocol):
+    """Reads requests, one after the other; subclasses take each as it is whole.
+
+    Attributes:
+        first_ns: when the first byte of the request that is being read came; 0 for none.
+        late_ns: how far this process was behind then.
+    """
+
+    def __init__(self, lateness: "Lateness") -> None:
+        """Begin before the connection is made."""
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self._lateness = lateness
+        self.first_ns = self.late_ns = 0
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self.target, self.headers, self.body = b"", dict[bytes, bytes](), b""
+        self.first_ns = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; what is no HTTP ends the connection."""
+        if not self.first_ns:
+            self.first_ns, self.late_ns = time.monotonic_ns(), self._lateness.now_ns()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field."""
+        self.headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        """Hand the request over and begin the next."""
+        method, target, headers, body = self._parser.get_method(), self.target, self.headers, self.body
+        first_ns = self.first_ns
+        self._reset()
+        self.request(method, target, headers, body, first_ns)
+
+    def request(
+        self, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, first_ns: int
+    ) -> None:
+        """Take a whole request, whose first byte came at `first_ns`."""
+        raise NotImplementedError
+
+
+class Lateness:
+    """How far this process is behind, so that its own stalls are not put down to others."""
+
+    def __init__(self) -> None:
+        """Begin to look, every few milliseconds."""
+        self._loop = asyncio.get_running_loop()
+        self._due = self._loop.time()
+        self._worst_until = 0.0
+        self._worst = 0.0
+        self._beat()
+
+    def _beat(self) -> None:
+        now = self._loop.time()
+        late = now - self._due
+        if late >= self._worst or now >= self._worst_until:
+            self._worst, self._worst_until = late, now + 0.1
+        self._due = now + PULSE_SECONDS
+        self._loop.call_at(self._due, self._beat)
+
+    def now_ns(self) -> int:
+        """Return the worst lateness of the latest tenth of a second."""
+        current = self._loop.time() - self._due
+        return int(max(current, self._worst, 0.0) * 1e9)
+
+
+class Orders:
+    """Orders from the run, a JSON object a line on standard input; its end ends the process."""
+
+    def __init__(self, take: Callable[[dict[str, Any]], None]) -> None:
+        """Hand each order to `take`."""
+        self._take = take
+        self.done = asyncio.Event()
+
+    async def follow(self) -> None:
+        """Read orders to their end."""
+        reader = asyncio.StreamReader()
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        while line := await reader.readline():
+            self._take(json.loads(line))
+        self.done.set()
--- /dev/null
+++ b/umberlead/standins/soak/proxy.py
@@ -0,0 +1,137 @@
+"""A proxy between fronts and one chunk server: `python -m umberlead.standins.soak.proxy LISTEN TARGET`.
+
+Orders change how it carries: `stalls` carries nothing, `pieces` a few bytes at a time; `reset` breaks, once,
+all connections that stand.
+"""
+
+import asyncio
+import random
+import socket
+import struct
+import sys
+from typing import Any, cast
+
+import uvloop
+
+from umberlead.standins.soak.processes import Orders
+
+PIECE_BYTES, PIECE_SECONDS = 24, 0.0005
+RETRY_SECONDS = 0.02  # while it carries nothing
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Proxy:
+    """How the proxy carries now, and what stands."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        """Carry to `target`."""
+        self.target = target
+        self.stalls = self.pieces = False
+        self.ends: set[End] = set()
+        self.chance = random.Random(str(target))
+
+    def order(self, order: dict[str, Any]) -> None:
+        """Change how it carries."""
+        self.stalls = bool(order.get("stalls", self.stalls))
+        self.pieces = bool(order.get("pieces", self.pieces))
+        if order.get("reset"):
+            for end in list(self.ends):
+                end.reset()
+
+
+class End(asyncio.Protocol):
+    """One end of a connection that is carried."""
+
+    def __init__(self, proxy: Proxy, other: "End | None" = None) -> None:
+        """Begin; `other` is the end at the front of one at the server."""
+        self.proxy, self.other = proxy, other
+        self.transport: asyncio.Transport | None = None
+        self._held = b""
+        self._carrying = self._ends = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Dial the server for a front's connection; carry what came ahead."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.proxy.ends.add(self)
+        if self.other is None:
+            self.other = End(self.proxy, self)
+            asyncio.get_running_loop().create_task(self._dial(self.other))
+        else:
+            self.other.carry()
+
+    async def _dial(self, far: "End") -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: far, *self.proxy.target)
+        except OSError:
+            self.reset()
+
+    def data_received(self, data: bytes) -> None:
+        """Carry on what came."""
+        self._held += data
+        self.carry()
+
+    def eof_received(self) -> bool:
+        """Carry the end on behind what came before it."""
+        self._ends = True
+        self.carry()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the other end: at once where this one broke."""
+        self.proxy.ends.discard(self)
+        self._ends = True
+        other = self.other
+        if exc is not None and other is not None:
+            other.reset()
+        else:
+            self.carry()
+
+    def carry(self) -> None:
+        """Carry what is held, unless that is under way."""
+        if not self._carrying:
+            self._carry()
+
+    def _carry(self) -> None:
+        self._carrying = False
+        far, loop = self.other, asyncio.get_running_loop()
+        if far is None or far.transport is None or far.transport.is_closing():
+            return
+        if self.proxy.stalls:
+            self._carrying = True
+            loop.call_later(RETRY_SECONDS, self._carry)
+            return
+        size = self.proxy.chance.randint(1, PIECE_BYTES) if self.proxy.pieces else len(self._held)
+        piece, self._held = self._held[:size], self._held[size:]
+        if piece:
+            far.transport.write(piece)
+        if self._held:
+            self._carrying = True
+            loop.call_later(PIECE_SECONDS, self._carry)
+        elif self._ends:
+            far.transport.close()
+
+    def reset(self) -> None:
+        """Break both ends."""
+        for end in (self, self.other):
+            if end is None or end.transport is None or end.transport.is_closing():
+                continue
+            sock = end.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            end.transport.abort()
+
+
+async def run(listen: str, target: str) -> None:
+    """Carry until the orders end."""
+    host, _, port = listen.partition(":")
+    to, _, to_port = target.partition(":")
+    proxy = Proxy((to, int(to_port)))
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: End(proxy), host, int(port), backlog=512)
+    print("ready", flush=True)
+    orders = Orders(proxy.order)
+    await orders.follow()
+
+
+if __name__ == "__main__":
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(sys.argv[1], sys.argv[2]))
--- /dev/null
+++ b/umberlead/standins/soak/run.py
@@ -0,0 +1,337 @@
+"""One run of the soak test: the fleet is started, troubles are played, all is ended and judged."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from umberlead.standins.soak import fleet
+from umberlead.standins.soak.fleet import Child, FaultsFile, FrontProcess, StartError
+from umberlead.standins.soak.judge import Evidence, Violation, judge
+from umberlead.standins.soak.lists import BEAT_SECONDS, Agent, Entry
+from umberlead.standins.soak.parts import Front, Server
+from umberlead.standins.soak.plan import Interval, Size, Trouble, draw
+from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, Writer, read
+from umberlead.standins.soak.scenario import (
+    DESCRIPTORS,
+    END_SECONDS,
+    FRONT_HOST,
+    LISTS_PORT,
+    LOOK_SECONDS,
+    MANAGEMENT_PORT,
+    MEMORY_MB,
+    NODE_HOST,
+    OTHER_LISTS_PORT,
+    OTHER_MANAGEMENT_PORT,
+    PORT,
+    PROXY_HOST,
+    RATE,
+    READY_SECONDS,
+    limits,
+    settings,
+)
+from umberlead.standins.soak.troubles import Troubles
+
+_numbers = itertools.count()  # of the runs in this process
+
+
+@dataclass(slots=True)
+class Verdict:
+    """How a run went.
+
+    Attributes:
+        violations: what was broken.
+        counts: how requests ended.
+        troubles: how often each trouble was played.
+        counters: the fronts' counters, summed over their processes.
+        injected: system calls that failed by order.
+    """
+
+    violations: list[Violation]
+    counts: Counter[str]
+    troubles: Counter[str]
+    counters: Counter[str]
+    injected: int = 0
+
+
+class Run:
+    """A run in a folder of its own."""
+
+    def __init__(self, folder: Path, seed: int, seconds: float, size: Size, troubles: list[Interval]) -> None:
+        """Play `troubles` on a fleet of that size; addresses differ between runs at the same time."""
+        self.folder, self.seed, self.seconds, self.size, self.troubles = folder, seed, seconds, size, troubles
+        pid = os.getpid()
+        self.net = f"127.{64 + pid % 64}.{(pid // 64 + next(_numbers)) % 250 + 1}"
+        self.fronts: list[Front] = []
+        self.servers: dict[int, Server] = {}
+        self.first: Server  # that the run began with, in the first slot
+        self.children: list[Child] = []
+        self.violations: list[Violation] = []
+        self._troubles = Troubles(self)
+        self._step_ns = 0  # of the wall clock of all machines
+        self.events = Writer(folder / "events.jsonl")
+        self.library = fleet.build_faults(folder)
+        self.incarnations: Counter[str] = Counter()
+        self._over = False
+
+    # Addresses and notes
+
+    def _host(self, first: int, number: int) -> str:
+        return f"{self.net}.{first + number}"
+
+    def note(self, what: str, who: str, at: float | None = None, value: float = 0.0) -> None:
+        """Write an event down, at that monotonic time in seconds or now."""
+        at_ns = time.monotonic_ns() if at is None else int(at * 1e9)
+        self.events.add(Event(at_ns, what, who, value))
+
+    def broken(self, rule: str, what: str) -> None:
+        """Note a violation that the run itself saw."""
+        self.violations.append(Violation(rule, what))
+
+    # Starting
+
+    async def start(self) -> None:
+        """Start all, and wait until the fronts are ready."""
+        for slot in range(self.size.nodes):
+            server = await self.start_server(slot, f"s{slot}", cold=False)
+            if slot == 0:
+                self.first = server
+        for number in range(self.size.fronts):
+            await self._add_front(number)
+        await asyncio.gather(*(self.start_process(front) for front in self.fronts))
+
+    async def start_server(self, slot: int, name: str, cold: bool) -> Server:
+        """Start a chunk server and its proxy at addresses of their own, in service at that slot."""
+        incarnation = self.incarnations[name]
+        self.incarnations[name] += 1
+        port = PORT + self.incarnations[str(slot)]
+        self.incarnations[str(slot)] += 1
+        address = f"{self._host(NODE_HOST, slot)}:{port}"
+        shown = f"{self._host(PROXY_HOST, slot)}:{port}"
+        path = self.folder / f"node-{name}-{incarnation}.jsonl"
+        node = await fleet.start_child(name, "node", address, f"{name}#{incarnation}", str(path))
+        proxy = await fleet.start_child(name, "proxy", shown, address)
+        server = Server(slot, name, incarnation, address, shown, node, proxy)
+        self.children += (node, proxy)
+        self.servers[slot] = server
+        if cold:
+            self.note("node_started", server.record_name)
+        return server
+
+    def entry(self, server: Server, status: str = "ready", cold: bool = False) -> Entry:
+        """Return a server as lists tell of it; a cold one has started now, by the machines' wall clock."""
+        since_ms = (time.time_ns() + self._step_ns) // 1_000_000 if cold else 0
+        return Entry(server.name, server.shown_address, server.slot, status, since_ms)
+
+    async def _add_front(self, number: int) -> None:
+        agent = Agent()
+        for server in self.servers.values():
+            agent.entries[server.name] = self.entry(server)
+        host = self._host(FRONT_HOST, number)
+        await agent.listen((host, LISTS_PORT), (host, OTHER_LISTS_PORT))
+        folder = self.folder / f"front{number}"
+        (folder / "tmp").mkdir(parents=True)
+        self.fronts.append(Front(f"f{number}", number, agent, folder))
+
+    def configure(self, front: Front) -> None:
+        """Write a front's configuration anew, as the platform does."""
+        port = OTHER_LISTS_PORT if front.moved else LISTS_PORT
+        known = [e.shown() for e in front.agent.entries.values() if e.status != "gone"]
+        config = {
+            "name": front.name,
+            "seed": f"{self.seed:x}",
+            "listen": f"{self._host(FRONT_HOST, front.number)}:{PORT}",
+            "discovery": f"{self._host(FRONT_HOST, front.number)}:{port}",
+            "limits": {"cores": 1, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
+            "known": {"index": front.agent.index, "snapshot": True, "endpoints": known},
+            "settings": settings(self.size),
+        }
+        (front.folder / "config.json").write_text(json.dumps(config))
+
+    async def start_process(self, front: Front) -> FrontProcess:
+        """Start a process of a front beside those that run, and wait until it is ready."""
+        self.configure(front)
+        number = len(front.past) + len(front.processes)
+        state = front.folder / "tmp"
+        faults = FaultsFile(front.folder / f"faults-{number}.bin", state / "umberlead")
+        faults.faults.clock_step_ns = self._step_ns
+        if front.processes:  # the machine's wall clock, and its disk, are one
+            faults.faults.clock_step_ns = front.processes[-1].faults.faults.clock_step_ns
+            faults.faults.folder_rate = front.processes[-1].faults.faults.folder_rate
+            faults.faults.folder_errno = front.processes[-1].faults.faults.folder_errno
+        faults.apply()
+        port = OTHER_MANAGEMENT_PORT if front.managed_by_other else MANAGEMENT_PORT
+        front.managed_by_other = not front.managed_by_other
+        env = {
+            "EDGE_CONFIG": str(front.folder / "config.json"),
+            "EDGE_LISTEN": f"{self._host(FRONT_HOST, front.number)}:{PORT}",
+            "EDGE_DISCOVERY": f"{self._host(FRONT_HOST, front.number)}:{LISTS_PORT}",
+            "TMPDIR": str(state),
+        }
+        process = await fleet.start_front(
+            front.name, env, f"{self._host(FRONT_HOST, front.number)}:{port}", faults, self.library,
+            self.folder / f"{front.name}-{number}.log",
+        )  # fmt: skip
+        front.processes.append(process)
+        try:
+            await process.ready()
+        except StartError as fault:
+            self.broken("start", str(fault))
+        if process.ready_seconds is not None and process.ready_seconds > READY_SECONDS:
+            self.broken("start", f"{front.name} was ready after {process.ready_seconds:.1f} s")
+        return process
+
+    def step_clock(self, step_ns: int) -> None:
+        """Step the wall clock of all machines."""
+        self._step_ns = step_ns
+        for front in self.fronts:
+            for process in front.processes:
+                process.faults.faults.clock_step_ns = step_ns
+                process.faults.apply()
+
+    # Ends of fronts
+
+    async def end_process(self, front: Front, process: FrontProcess) -> None:
+        """Tell a process to end, and see that it does so in time and with 0."""
+        process.ends = True
+        process.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(END_SECONDS):
+                code = await process.process.wait()
+            if code != 0:
+                tail = process.log.read_text(errors="replace")[-1500:]
+                self.broken("exit", f"{front.name} ended with {code}: {tail}")
+        except TimeoutError:
+            self.note("front_killed", front.name)
+            self.broken("exit", f"{front.name} stands {END_SECONDS} s after SIGTERM")
+            process.process.kill()
+            await process.process.wait()
+        self._retire(front, process)
+
+    async def kill_process(self, front: Front, process: FrontProcess) -> None:
+        """Kill a process of a front."""
+        process.ends = process.killed = True
+        process.signal(signal.SIGKILL)
+        self.note("front_killed", front.name)
+        await process.process.wait()
+        self._retire(front, process)
+
+    @staticmethod
+    def _retire(front: Front, process: FrontProcess) -> None:
+        if process in front.processes:
+            front.processes.remove(process)
+            front.past.append(process)
+
+    # The run as a whole
+
+    async def _watch(self) -> None:
+        """Look at what fronts hold, and that none ends unasked."""
+        beat = 0.0
+        while not self._over:
+            await asyncio.sleep(LOOK_SECONDS)
+            beat += LOOK_SECONDS
+            for front in self.fronts:
+                self._look(front)
+                if beat >= BEAT_SECONDS:
+                    front.agent.beat()
+            if beat >= BEAT_SECONDS:
+                beat = 0.0
+
+    def _look(self, front: Front) -> None:
+        held = sum(process.descriptors() for process in front.processes)
+        if held > DESCRIPTORS:
+            self.broken("descriptors", f"{front.name} holds {held} of {DESCRIPTORS}")
+        if (memory := sum(process.memory_mb() for process in front.processes)) > MEMORY_MB:
+            self.broken("memory", f"{front.name} holds {memory:.0f} MB of {MEMORY_MB}")
+        for process in list(front.processes):
+            if process.process.returncode is not None and not process.ends:
+                tail = process.log.read_text(errors="replace")[-2000:]
+                self.broken("crash", f"{front.name} ended with {process.process.returncode}: {tail}")
+                self.note("front_killed", front.name)
+                self._retire(front, process)
+
+    async def _clients(self) -> list[asyncio.subprocess.Process]:
+        fronts = [f"{f.name}={self._host(FRONT_HOST, f.number)}:{PORT}" for f in self.fronts]
+        made = []
+        for number in range(self.size.clients):
+            path = self.folder / f"client-{number}.jsonl"
+            words = [self.seed * 100 + number, self.seconds, RATE, self.size.nodes, path, *fronts]
+            call = [sys.executable, "-B", "-m", f"{fleet.MODULE}.client", *map(str, words)]
+            made.append(await asyncio.create_subprocess_exec(*call))
+        return made
+
+    async def play_all(self) -> Verdict:
+        """Play the run and return its verdict."""
+        try:
+            await self.start()
+            watching = asyncio.get_running_loop().create_task(self._watch())
+            clients = await self._clients()
+            await self._troubles.play(self.troubles, self.seconds)
+            for client in clients:
+                if await client.wait() != 0:
+                    self.broken("clients", "a process of clients failed")
+            await asyncio.gather(
+                *(self.end_process(front, process) for front in self.fronts for process in front.live())
+            )
+            self._over = True
+            await watching
+        finally:
+            await self.close()
+        return self._verdict()
+
+    async def close(self) -> None:
+        """Kill what still runs, and wait until it has ended."""
+        processes = [child.process for child in self.children]
+        processes += [process.process for front in self.fronts for process in front.processes]
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+        await asyncio.gather(*(process.wait() for process in processes))
+        for front in self.fronts:
+            front.agent.close()
+
+    def _verdict(self) -> Verdict:
+        evidence = Evidence()
+        for path in sorted(self.folder.glob("client-*.jsonl")):
+            evidence.clients += read(path, ClientRecord)
+        for path in sorted(self.folder.glob("node-*.jsonl")):
+            evidence.nodes += read(path, NodeRecord)
+        evidence.events = sorted(read(self.folder / "events.jsonl", Event), key=lambda event: event.at)
+        counters = self._counters()
+        for name in ("invariant_violations", "unexpected_errors", "module_errors"):
+            if counters[name]:
+                lines = [line for line in self._log_lines() if "violated" in line or "error" in line]
+                self.broken(name, f"{counters[name]}: " + "; ".join(lines[:5]))
+        found = [*self.violations, *judge(evidence, limits())]
+        counts = Counter(f"{row.kind} {row.end} {row.status or ''}".strip() for row in evidence.clients)
+        injected = sum(p.faults.injected() for f in self.fronts for p in (*f.past, *f.processes))
+        return Verdict(found, counts, self._troubles.played, counters, injected)
+
+    def _log_lines(self) -> list[str]:
+        paths = sorted(self.folder.glob("f*-*.log"))
+        return [line for path in paths for line in path.read_text(errors="replace").splitlines()]
+
+    def _counters(self) -> Counter[str]:
+        """Sum the last counters that each process logged."""
+        total: Counter[str] = Counter()
+        for path in self.folder.glob("f*-*.log"):
+            lines = [line for line in path.read_text(errors="replace").splitlines() if " counters [" in line]
+            for pair in lines[-1].split("[", 1)[1].split() if lines else ():
+                name, _, value = pair.partition("=")
+                text = value.strip('"]')
+                if text.isdigit():
+                    total[name] += int(text)
+        return total
+
+
+def play(folder: Path, seed: int, seconds: float, size: Size, troubles: list[Trouble]) -> Verdict:
+    """Play a run in `folder`, which is empty, and return its verdict."""
+    run = Run(folder, seed, seconds, size, draw(seed, seconds, size, troubles))
+    with asyncio.Runner() as runner:
+        return runner.run(run.play_all())
--- /dev/null
+++ b/umberlead/standins/soak/troubles.py
@@ -0,0 +1,250 @@
+"""Plays troubles on a running fleet of the soak test."""
+
+import asyncio
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from umberlead.standins.soak.fleet import FrontProcess
+from umberlead.standins.soak.lists import Entry
+from umberlead.standins.soak.parts import Front, Server
+from umberlead.standins.soak.plan import Interval, Trouble
+from umberlead.standins.soak.scenario import ACCEPT_FAILS_SECONDS, DRAINED_AFTER_SECONDS, faults_of
+
+
+class Fleet(Protocol):
+    """What troubles need of a run.
+
+    Attributes:
+        fronts: by their numbers.
+        servers: those in service, by their slots.
+        incarnations: starts so far, by server name and by slot.
+    """
+
+    fronts: list[Front]
+    servers: dict[int, Server]
+    incarnations: Counter[str]
+
+    def note(self, what: str, who: str, at: float | None = None, value: float = 0.0) -> None:
+        """Write an event down, at that monotonic time in seconds or now."""
+
+    def entry(self, server: Server, status: str = "ready", cold: bool = False) -> Entry:
+        """Return a server as lists tell of it."""
+
+    def configure(self, front: Front) -> None:
+        """Write a front's configuration anew."""
+
+    def step_clock(self, step_ns: int) -> None:
+        """Step the wall clock of all machines."""
+
+    async def start_server(self, slot: int, name: str, cold: bool) -> Server:
+        """Start a chunk server and its proxy."""
+
+    async def start_process(self, front: Front) -> FrontProcess:
+        """Start a process of a front, and wait until it is ready."""
+
+    async def end_process(self, front: Front, process: FrontProcess) -> None:
+        """Tell a process to end, and see that it does."""
+
+    async def kill_process(self, front: Front, process: FrontProcess) -> None:
+        """Kill a process."""
+
+
+class Troubles:
+    """Plays troubles on a fleet.
+
+    Attributes:
+        played: how often each kind was.
+    """
+
+    def __init__(self, run: Fleet) -> None:
+        """Play on the fleet of `run`."""
+        self._run = run
+        self.played: Counter[str] = Counter()
+
+    async def play(self, intervals: list[Interval], seconds: float) -> None:
+        """Play all troubles at their times, and wait until each is over and so many seconds have gone by."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        tasks = []
+        for interval in intervals:
+            await asyncio.sleep(max(began + interval.begin - loop.time(), 0))
+            tasks.append(loop.create_task(self._trouble(interval)))
+        await asyncio.sleep(max(began + seconds - loop.time(), 0))
+        await asyncio.gather(*tasks)
+
+    async def _trouble(self, interval: Interval) -> None:
+        plays: dict[Trouble, Callable[[Interval], Awaitable[None]]] = {
+            Trouble.FRONT_RESTART: self._front_restart,
+            Trouble.FRONT_KILL: self._front_kill,
+            Trouble.FRONT_HANDOVER: self._front_handover,
+            Trouble.FRONT_RELOAD: self._front_reload,
+            Trouble.FRONT_PAUSE: self._front_pause,
+            Trouble.NODE_DRAIN: self._node_drain,
+            Trouble.NODE_KILL: self._node_kill,
+            Trouble.NODE_HANG: self._node_hang,
+            Trouble.NODE_ERRORS: self._node_errors,
+            Trouble.NODE_BY_HAND: self._node_by_hand,
+            Trouble.LINK_STALL: self._link_stall,
+            Trouble.LINK_RESET: self._link_reset,
+            Trouble.LINK_PIECES: self._link_pieces,
+            Trouble.LISTS_SILENT: self._lists_silent,
+            Trouble.LISTS_RESET: self._lists_reset,
+            Trouble.CLOCK_STEP_ALL: self._clock_step_all,
+        }
+        self.played[interval.trouble.value] += 1
+        self._run.note(interval.trouble.value, str(interval.target), value=interval.end - interval.begin)
+        await plays.get(interval.trouble, self._system_faults)(interval)
+
+    @staticmethod
+    async def _last(interval: Interval) -> None:
+        await asyncio.sleep(interval.end - interval.begin)
+
+    def _front(self, interval: Interval) -> Front:
+        return self._run.fronts[interval.target % len(self._run.fronts)]
+
+    def _server(self, interval: Interval) -> Server:
+        return self._run.servers[interval.target % len(self._run.servers)]
+
+    async def _front_restart(self, interval: Interval) -> None:
+        front = self._front(interval)
+        for process in front.live():
+            await self._run.end_process(front, process)
+        await self._run.start_process(front)
+
+    async def _front_kill(self, interval: Interval) -> None:
+        front = self._front(interval)
+        for process in front.live():
+            await self._run.kill_process(front, process)
+        await self._run.start_process(front)
+
+    async def _front_handover(self, interval: Interval) -> None:
+        front = self._front(interval)
+        old = front.live()
+        await self._run.start_process(front)
+        for process in old:
+            await self._run.end_process(front, process)
+
+    async def _front_reload(self, interval: Interval) -> None:
+        front = self._front(interval)
+        front.moved = not front.moved
+        self._run.configure(front)
+        for process in front.live():
+            process.signal(signal.SIGHUP)
+        await self._last(interval)
+
+    async def _front_pause(self, interval: Interval) -> None:
+        for process in self._front(interval).live():
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.02 + 0.13 * interval.variant)
+            process.signal(signal.SIGCONT)
+
+    def _tell(self, entry: Entry) -> float:
+        """Tell all agents; return when all fronts count as told."""
+        for front in self._run.fronts:
+            front.agent.tell(entry)
+        return max(front.agent.told_by for front in self._run.fronts)
+
+    async def _node_drain(self, interval: Interval) -> None:
+        old = self._server(interval)
+        new = await self._run.start_server(
+            old.slot, f"s{old.slot}-{self._run.incarnations[str(old.slot)]}", cold=True
+        )
+        self._tell(self._run.entry(new, cold=True))
+        told_by = self._tell(self._run.entry(old, "draining"))
+        self._run.note("node_drains", old.record_name, told_by)
+        await asyncio.sleep(told_by - time.monotonic() + DRAINED_AFTER_SECONDS)
+        self._tell(self._run.entry(old, "gone"))
+        await asyncio.sleep(0.5)
+        old.node.kill()
+        old.proxy.kill()
+
+    async def _node_kill(self, interval: Interval) -> None:
+        old = self._server(interval)
+        old.node.kill()
+        old.proxy.kill()
+        await self._last(interval)
+        new = await self._run.start_server(old.slot, old.name, cold=True)
+        self._tell(self._run.entry(new, cold=True))
+
+    async def _node_hang(self, interval: Interval) -> None:
+        server = self._server(interval)
+        server.node.order(hangs=True)
+        await self._last(interval)
+        server.node.order(hangs=False)
+
+    async def _node_errors(self, interval: Interval) -> None:
+        server = self._server(interval)
+        server.node.order(flaw_rate=0.1 + 0.5 * interval.variant)
+        await self._last(interval)
+        server.node.order(flaw_rate=0.0)
+
+    async def _switch(self, server: Server, word: str) -> bool:
+        """Have all fronts take a server out, or put it back; a front that is away is called again."""
+        path = f"/control/chunk-servers/{server.name}/{word}"
+        for front in self._run.fronts:
+            for _ in range(40):
+                live = front.live()
+                statuses = [await process.call("PUT", path) for process in live[-1:]]
+                if statuses == [200]:
+                    break
+                if statuses and statuses[0] in (404, 500) and word == "offline":
+                    return False
+                await asyncio.sleep(0.1)
+            else:
+                return False
+        return True
+
+    async def _node_by_hand(self, interval: Interval) -> None:
+        server = self._server(interval)
+        if await self._switch(server, "offline"):
+            self._run.note("node_out", server.record_name)
+            await self._last(interval)
+            self._run.note("node_back", server.record_name)
+        await self._switch(server, "online")
+
+    async def _link_stall(self, interval: Interval) -> None:
+        server = self._server(interval)
+        server.proxy.order(stalls=True)
+        await self._last(interval)
+        server.proxy.order(stalls=False)
+
+    async def _link_reset(self, interval: Interval) -> None:
+        self._server(interval).proxy.order(reset=True)
+
+    async def _link_pieces(self, interval: Interval) -> None:
+        server = self._server(interval)
+        server.proxy.order(pieces=True)
+        await self._last(interval)
+        server.proxy.order(pieces=False)
+
+    async def _lists_silent(self, interval: Interval) -> None:
+        agent = self._front(interval).agent
+        agent.fall_silent()
+        await self._last(interval)
+        agent.speak()
+
+    async def _lists_reset(self, interval: Interval) -> None:
+        self._front(interval).agent.reset()
+
+    async def _system_faults(self, interval: Interval) -> None:
+        """Have system calls of a front's processes fail for a while; its clock stays stepped."""
+        front = self._front(interval)
+        changed = faults_of(interval)
+        for process in front.processes:
+            for name, value in changed.items():
+                setattr(process.faults.faults, name, value)
+            process.faults.apply()
+        if interval.trouble is Trouble.CLOCK_STEP:
+            return
+        lasting = changed.get("accept_rate") == 1000
+        await asyncio.sleep(ACCEPT_FAILS_SECONDS if lasting else interval.end - interval.begin)
+        for process in front.processes:
+            for name in changed:
+                setattr(process.faults.faults, name, 0)
+            process.faults.apply()
+
+    async def _clock_step_all(self, interval: Interval) -> None:
+        self._run.step_clock(faults_of(interval)["clock_step_ns"])
