--- /dev/null
+++ b/tests/test_system_faults.py
@@ -0,0 +1,130 @@
+"""Whole fronts as processes while the system fails them: their disk, their wall clock, their accepts.
+
+Each test starts a small fleet of the soak test's parts and forces one crossing; faults are in force before
+the step that meets them, so nothing depends on how fast the machine is.
+"""
+
+import asyncio
+import errno
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from umberlead.standins.soak.fleet import FrontProcess
+from umberlead.standins.soak.judge import Evidence, budgets, slow_starts
+from umberlead.standins.soak.plan import Size
+from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, read
+from umberlead.standins.soak.run import Run
+from umberlead.standins.soak.scenario import FRONT_HOST, PORT, limits
+
+HOUR_NS = 3600 * 1_000_000_000
+SEED = 1
+
+
+def play(folder: Path, nodes: int, steps: Callable[[Run], Awaitable[None]]) -> Run:
+    """Start one front and its chunk servers, carry out the steps, and end all; the run has what was seen."""
+
+    async def whole() -> Run:
+        run = Run(folder, SEED, 0.0, Size(1, nodes, 0), [])
+        try:
+            await run.start()
+            await steps(run)
+        finally:
+            await run.close()
+        return run
+
+    return asyncio.run(whole())
+
+
+def set_faults(process: FrontProcess, **faults: int) -> None:
+    for name, value in faults.items():
+        setattr(process.faults.faults, name, value)
+    process.faults.apply()
+
+
+def message(id_: str, budget: float, shard: int = 0, units: int = 1) -> bytes:
+    return (
+        f"GET /fetch?block={7:016x} HTTP/1.1\r\nHost: s\r\nX-Call-Id: {id_}\r\nX-Plan: basic\r\n"
+        f"X-Budget: {budget:.3f}\r\nX-IO: volume={3:016x},units={units},shard={shard},hosts=1\r\n\r\n"
+    ).encode()
+
+
+async def ask(run: Run, id_: str, budget: float, shard: int = 0) -> tuple[int, int, int]:
+    """Ask the front on a new connection: when the request was sent, when its answer came, and its status."""
+    address = f"{run.net}.{FRONT_HOST}"
+    reader, writer = await asyncio.open_connection(address, PORT)
+    writer.write(message(id_, budget, shard))
+    await writer.drain()
+    sent = time.monotonic_ns()
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return sent, time.monotonic_ns(), int(head.split()[1])
+
+
+def attempts(run: Run) -> list[NodeRecord]:
+    return [row for path in run.folder.glob("node-*.jsonl") for row in read(path, NodeRecord)]
+
+
+def test_a_hand_over_while_the_state_folder_takes_no_writes_serves_and_ends_well(tmp_path: Path) -> None:
+    """The new process took itself for the only one, could not listen beside the old one, and ended with 2."""
+    for code in (errno.ENOSPC, errno.EIO):
+        folder = tmp_path / errno.errorcode[code]
+        folder.mkdir()
+
+        async def steps(run: Run, code: int = code) -> None:
+            front = run.fronts[0]
+            old = front.processes[0]
+            set_faults(old, folder_rate=1000, folder_errno=code)
+            new = await run.start_process(front)
+            assert new.process.returncode is None and new.ready_seconds is not None, run.violations
+            await run.end_process(front, old)
+            assert (await ask(run, "a", 1.0))[2] == 200
+            new.signal(signal.SIGTERM)
+            assert await asyncio.wait_for(new.process.wait(), 6.0) == 0, new.log.read_text()
+
+        assert play(folder, 1, steps).violations == []
+
+
+def test_a_server_that_starts_after_the_wall_clock_stepped_is_warmed_up_like_any_other(
+    tmp_path: Path,
+) -> None:
+    """Its start seemed an hour old, so it got all at once what it can't bear."""
+
+    async def steps(run: Run) -> None:
+        run.step_clock(-HOUR_NS)
+        server = await run.start_server(0, "cold", cold=True)
+        run.fronts[0].agent.tell(run.entry(server, cold=True))
+        run.fronts[0].agent.tell(run.entry(run.first, status="gone"))
+        await asyncio.sleep(0.3)  # the change is on its way: what is asked sooner goes elsewhere or waits
+        await asyncio.gather(*(ask(run, f"{n}", 1.2) for n in range(120)))
+
+    run = play(tmp_path, 1, steps)
+    events = list(read(run.folder / "events.jsonl", Event))
+    rows = [row for row in attempts(run) if row.node.startswith("cold")]
+    assert rows and not slow_starts(Evidence(nodes=rows, events=events), limits())
+
+
+def test_a_request_that_waited_for_its_accept_is_given_no_more_time_than_its_client_has(
+    tmp_path: Path,
+) -> None:
+    """Its time ran from the accept: the server was told of time that its client had not."""
+    rows: list[ClientRecord] = []
+
+    async def steps(run: Run) -> None:
+        process = run.fronts[0].processes[0]
+        for number, code in enumerate((errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS)):
+            set_faults(process, accept_rate=1000, accept_errno=code)
+            asked = asyncio.create_task(ask(run, f"{number}", 1.0))
+            await asyncio.sleep(0.5)
+            set_faults(process, accept_rate=0)
+            sent, ended, status = await asked
+            assert status == 200 and ended < sent + 1_000_000_000, (errno.errorcode[code], status)
+            rows.append(
+                ClientRecord(
+                    f"{number}", "f0", "fresh", "fetch", 1.0, 0, 0, sent, sent, sent, ended, "answered"
+                )
+            )
+
+    run = play(tmp_path, 1, steps)
+    assert not budgets(Evidence(clients=rows, nodes=attempts(run)))
