Keep processes of a front in sight of each other while their folder takes no writes

Checked and ruled out: the old process's listener (it has SO_REUSEPORT), the port (free for a process that can write), the preloaded library (the same with a full disk by way of mocks).

Cause: `Shared.__init__` dropped its root on any OSError, so the process took itself for the only one: it listened without SO_REUSEPORT, and would have had all of the volumes' limits and of the descriptors. The same mistake elsewhere, found by reading: - `_list` gave [] on EIO: chunk servers out by hand came back, others were gone and each process had all limits; - `leaves` left its word in a buffer that `leave` flushed again: SIGTERM ended with a traceback and 1; - a claim of which a part was written read as other figures; a first look that could not be published left a process without places.

A process that can make no file takes over one that nobody holds, of which two spares are kept with their room; it is tried again with each look. What can't be read is what it was. Writes go to their end or fail; a half one is no claim. A front with a state folder always listens with SO_REUSEPORT. `part` is `share`, `marks` are `overrides`.

The check that both folders are empty at the end is replaced by one that they hold the same spares, which nobody holds.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -285,7 +285,7 @@
             case ["beside"]:
                 front = await self._start()
                 self.patches.enter_context(mock.patch.object(front.shared, "others", lambda: 1))
-                self.patches.enter_context(mock.patch.object(front.shared, "part", lambda: 0.5))
+                self.patches.enter_context(mock.patch.object(front.shared, "share", lambda: 0.5))
                 front.look()
             case ["lastword"]:  # what is due at the process's end, with no time gone by
                 (await self._start()).finish()
--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -12,7 +12,7 @@
 STREAM, POOL = "umberlead/net/streaming.py", "umberlead/net/node_pool.py"
 WATCH, FRONT = "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
-VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
+VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/handover/registry.py"
 WATCHING, GUARD = "umberlead/recovery/watching.py", "umberlead/core/send_guard.py"
 
 planted.TESTS = (
@@ -85,14 +85,14 @@
     ("uploads: the end that is here as its time is over is not read", SERVER, "if self.has_unread_request() and not self._overtime:", "if False:"),
     ("uploads: one that trickles never ends", SERVER, "if self.has_unread_request() and not self._overtime:", "if self.has_unread_request():"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.close_after_reply = self.processes > 1", "clients.close_after_reply = False"),
-    ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
+    ("limits: each process has its front's whole part", FRONT, "            self.engine.set_process_share(share)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
     ("limits: what is left above a smaller part is kept", "umberlead/core/buckets.py", "most, min(self.have, most)", "most, self.have"),
     ("limits: a front that joins a volume is not made room for", VOLUMES, "            if most < before:", "            if False:"),
     ("limits: fewer fronts hold at once", VOLUMES, "            if now - self.fewer_since < hold:", "            if False:"),
     ("limits: a further attempt is free whatever came of the first", VOLUMES, "        item.paid = None\n", "        pass\n"),
     ("limits: a volume is forgotten before its store is full", VOLUMES, " and not v.limit.wait(now, v.limit.most)", ""),
-    ("limits: a process that can't be seen is gone", SHARED, "        with contextlib.suppress(OSError):\n            names", "        self._beside = []\n        with contextlib.suppress(OSError):\n            names"),
+    ("limits: a process that can't be seen is gone", SHARED, "        with contextlib.suppress(OSError):\n            listed_ns", "        self.others, self._weights = [], []\n        with contextlib.suppress(OSError):\n            listed_ns"),
 )  # fmt: skip
 
 if __name__ == "__main__":
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -26,12 +26,12 @@
 from tests.helpers import T0
 from umberlead import limits
 from umberlead.core.counters import Counters
+from umberlead.handover.shared_state import SharedState
 from umberlead.net.client_connections import Clients
 from umberlead.net.listener import ACCEPT_BATCH, Listener
 from umberlead.net.node_connection import NodeConnection
 from umberlead.net.node_pool import Pool
 from umberlead.net.server_connection import ServerConnection
-from umberlead.shared import Shared
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 30.0  # s until what never comes fails
@@ -219,14 +219,14 @@
 
 def test_without_a_descriptor_to_look_what_was_seen_of_the_others_stands(tmp_path: Path) -> None:
     """Chunk servers out by hand came back, and each of two processes took all limits for itself."""
-    one, other = Shared(tmp_path), Shared(tmp_path)
-    one.mark("n0", True)
-    seen = one.others(), one.marks()
+    one, other = SharedState(tmp_path), SharedState(tmp_path)
+    one.override("n0", True)
+    seen = one.others(), one.overrides()
     for name in ("os.listdir", "builtins.open"):
         with mock.patch(name, side_effect=OSError(errno.EMFILE, "")):
-            assert (one.others(), one.marks()) == seen
+            assert (one.others(), one.overrides()) == seen
     other.leave()
-    assert (one.others(), list(one.marks())) == (0, ["n0"])
+    assert (one.others(), list(one.overrides())) == (0, ["n0"])
     one.leave()
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,9 +15,9 @@
 from umberlead.config import Listing
 from umberlead.core.counters import Counters
 from umberlead.core.wheel import Wheel
+from umberlead.handover.shared_state import SharedState
 from umberlead.net.discovery import Watch
 from umberlead.recovery.backoff import LIMIT
-from umberlead.shared import Shared
 
 LIST = b'{"index":3,"snapshot":true,"endpoints":[]}\n'
 
@@ -283,8 +283,8 @@
 
 def test_what_was_learnt_of_who_answers_is_kept_for_the_next_process(tmp_path: Any) -> None:
     async def test(discovery: Discovery) -> None:
-        shared = Shared(tmp_path)
-        assert shared.agent() is None and Shared(None).agent() is None
+        shared = SharedState(tmp_path)
+        assert shared.agent() is None and SharedState(None).agent() is None
         for how, agent in ((NEWS, True), (NO, True), (NEWS, None)):  # kept or not once a list has come
             of = Setting(discovery, fleet=40, ours=True, agent=shared.agent(), learnt=shared.met_agent)
             if (how, agent) == (NEWS, None):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,40 +16,40 @@
 from umberlead.core.counters import Counters
 from umberlead.core.engine import Engine
 from umberlead.front import Front
+from umberlead.handover.shared_state import SharedState
 from umberlead.limits import deal
 from umberlead.net.client_connections import Clients
 from umberlead.net.listener import Listener
-from umberlead.shared import Shared
 
 
 class TestShared(unittest.TestCase):
     def test_marks_pass_from_one_process_to_the_next_and_the_dead_are_not_counted(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            old, new = Shared(Path(folder) / "u"), Shared(Path(folder) / "u")
+            old, new = SharedState(Path(folder) / "u"), SharedState(Path(folder) / "u")
             (Path(folder) / "u" / "fronts" / "killed").touch()
             self.assertEqual((old.others(), new.others()), (1, 1))
-            old.mark("s/1", True)
-            since = old.marks()["s/1"]
-            new.mark("s/1", True)
+            old.override("s/1", True)
+            since = old.overrides()["s/1"]
+            new.override("s/1", True)
             old.leave()
-            self.assertEqual((new.others(), new.marks()), (0, {"s/1": since}))
-            new.mark("s/1", False)
-            new.mark("s/1", False)
-            self.assertEqual(new.marks(), {})
+            self.assertEqual((new.others(), new.overrides()), (0, {"s/1": since}))
+            new.override("s/1", False)
+            new.override("s/1", False)
+            self.assertEqual(new.overrides(), {})
             new.leave()
 
     def test_without_a_folder_marks_still_hold(self) -> None:
         for root in (None, Path("/dev/null/u")):
-            alone = Shared(root)
-            alone.mark("s", True)
-            self.assertEqual((list(alone.marks()), alone.others()), (["s"], 0))
+            alone = SharedState(root)
+            alone.override("s", True)
+            self.assertEqual((list(alone.overrides()), alone.others()), (["s"], 0))
 
 
 class TestLimits(unittest.TestCase):
     def test_two_processes_have_one_front_s_limits_between_them(self) -> None:
         """Their memory and descriptors count together, and the one that is there must make room."""
         front = mock.Mock(processes=1, marks={}, groups=[], doors=[], handlers=[], held=(4, 0), lists=None)
-        front.shared = mock.Mock(others=lambda: 1, marks=lambda: {"s": 5})
+        front.shared = mock.Mock(others=lambda: 1, overrides=lambda: {"s": 5})
         front.conf = mock.Mock(sockets=400, memory=80 << 20, keepalive=15_000_000, objects=None)
         front.limit = lambda: Front.limit(front)
         Front.look(front)
--- a/tests/test_handover_places.py
+++ b/tests/test_handover_places.py
@@ -28,8 +28,9 @@
 from umberlead.handover.claims import Claim, Use, parse
 from umberlead.handover.division import LEAST_PLACES, divide, settled
 from umberlead.handover.places import SHORTAGE_LOOK_INTERVAL_US, UNBOUNDED
+from umberlead.handover.registry import SPARE_FILES
+from umberlead.handover.shared_state import SharedState
 from umberlead.limits import MORE, connections, deal, surplus, with_surplus
-from umberlead.shared import Shared
 
 HELD = 15  # descriptors of a process at its start
 DESCRIPTORS = 384
@@ -62,7 +63,7 @@
 
 
 def test_processes_see_each_other_s_claims_and_a_dead_one_s_no_longer(tmp_path: Path) -> None:
-    first, second, seen = Shared(tmp_path), Shared(tmp_path), list[list[Claim | None]]()
+    first, second, seen = SharedState(tmp_path), SharedState(tmp_path), list[list[Claim | None]]()
     claim = Claim(26, (Use(170, 9, 3, 384),))
 
     def decide(others: list[Claim | None]) -> Claim:
@@ -70,19 +71,24 @@
         return claim
 
     assert first.publish(decide) and second.publish(decide) and first.publish(decide)
-    (tmp_path / "claims" / first._name).write_text("")
+    name = next(n for n in second._registry.others) if second._registry else ""
+    (tmp_path / "claims" / name).write_text("")
     assert second.publish(decide)
-    (tmp_path / "claims" / first._name).unlink()
+    (tmp_path / "claims" / name).unlink()
     assert second.publish(decide)
     first.leave()
     assert second.publish(decide)
     assert seen == [[Claim(0, ())], [claim], [claim], [None], [None], []]
     second.leave()
-    assert [list(folder.iterdir()) for folder in (tmp_path / "fronts", tmp_path / "claims")] == [[], []]
+    spares = [sorted(path.name for path in (tmp_path / kind).iterdir()) for kind in ("fronts", "claims")]
+    assert spares[0] == spares[1] and len(spares[0]) == SPARE_FILES and name not in spares[0]
+    third = SharedState(tmp_path)
+    assert third.others() == 0 and third.publish(decide) and seen[-1] == []
+    third.leave()
 
 
 def test_where_another_decides_or_no_descriptor_is_left_nothing_is_published(tmp_path: Path) -> None:
-    first, second = Shared(tmp_path), Shared(tmp_path)
+    first, second = SharedState(tmp_path), SharedState(tmp_path)
     claim = Claim(26, (Use(170, 9, 3, 384),))
 
     def decide(_: list[Claim | None]) -> Claim:
--- /dev/null
+++ b/tests/test_state_folder.py
@@ -0,0 +1,173 @@
+"""The state folder while it takes no writes, or can't be read: what stands in it holds, nobody is unseen."""
+
+import contextlib
+import errno
+import os
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from umberlead.handover.claims import Claim, Use
+from umberlead.handover.registry import LEAVING_WEIGHT, ProcessRegistry, write_all
+from umberlead.handover.shared_state import SharedState
+
+CLAIM = Claim(20, (Use(10, 5, 3, 100),))
+Seen = list[list[Claim | None]]
+
+
+def published(state: SharedState) -> Seen:
+    """Publish `CLAIM`; what was seen of the others' claims."""
+    seen: Seen = []
+
+    def decide(others: list[Claim | None]) -> Claim:
+        seen.append(others)
+        return CLAIM
+
+    assert state.publish(decide)
+    return seen
+
+
+@contextlib.contextmanager
+def disk_takes_nothing(code: int) -> Iterator[None]:
+    """Files can be opened and read; none can be made, written, removed or touched."""
+    real = os.open
+
+    def open_(path: Any, flags: int, *more: Any, **named: Any) -> int:
+        if flags & os.O_CREAT and not os.path.exists(path):
+            raise OSError(code, "")
+        return real(path, flags, *more, **named)
+
+    fails = mock.Mock(side_effect=OSError(code, ""))
+    with (
+        mock.patch("os.open", open_), mock.patch("os.pwrite", fails), mock.patch("os.write", fails),
+        mock.patch("os.unlink", fails), mock.patch("os.utime", fails), mock.patch("os.mkdir", fails),
+    ):  # fmt: skip
+        yield
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_process_that_starts_meanwhile_is_seen_and_never_has_more_than_its_share(
+    tmp_path: Path, code: int
+) -> None:
+    old = SharedState(tmp_path)
+    assert old.publish(lambda _: CLAIM)
+    with disk_takes_nothing(code):
+        new = SharedState(tmp_path)
+        assert (old.others(), new.others()) == (1, 1)
+        assert old.share() + new.share() <= 1.0
+        old.leaves()
+        assert (new.others(), old.others()) == (1, 1) and old.share() + new.share() <= 1.0
+        old.leave()
+        assert (new.others(), new.share()) == (0, 1.0)
+    assert published(new) == [[]]
+    late = SharedState(tmp_path)
+    assert (late.others(), new.others()) == (1, 1)
+    assert published(late) == [[CLAIM]]
+    late.leave()
+    new.leave()
+
+
+def test_a_folder_that_can_t_even_be_made_is_tried_again_with_each_look(tmp_path: Path) -> None:
+    root = tmp_path / "state"
+    with disk_takes_nothing(errno.ENOSPC):
+        first = SharedState(root)
+        assert first.others() == 0 and first.fault and first.publish(lambda _: CLAIM)
+    assert first.others() == 0 and first.fault == ""
+    second = SharedState(root)
+    assert (first.others(), second.others()) == (1, 1)
+    for process in (first, second):
+        process.leave()
+
+
+def test_a_folder_that_never_can_be_written_is_none(tmp_path: Path) -> None:
+    with disk_takes_nothing(errno.EROFS):
+        only = SharedState(tmp_path / "state")
+        assert only.root is None and only.fault and (only.others(), only.share()) == (0, 1.0)
+        assert only.publish(lambda others: CLAIM)
+        only.override("n0", True)
+        assert list(only.overrides()) == ["n0"]
+        only.leaves()
+        only.leave()
+
+
+@pytest.mark.parametrize("code", [errno.EIO, errno.EMFILE])
+def test_where_the_folder_can_t_be_read_overrides_and_processes_are_what_they_were(
+    tmp_path: Path, code: int
+) -> None:
+    """A server out by hand came back, and each of two processes took itself for the only one."""
+    one, other = SharedState(tmp_path), SharedState(tmp_path)
+    one.override("n0", True)
+    seen = one.others(), one.share(), one.overrides()
+    for name in ("os.listdir", "builtins.open", "os.stat"):
+        with mock.patch(name, side_effect=OSError(code, "")):
+            assert (one.others(), one.share(), one.overrides()) == seen, name
+    for process in (one, other):
+        process.leave()
+
+
+def test_an_override_that_can_t_be_kept_is_a_fault_and_changes_nothing(tmp_path: Path) -> None:
+    state = SharedState(tmp_path)
+    state.override("n0", True)
+    with disk_takes_nothing(errno.ENOSPC):
+        with pytest.raises(OSError):
+            state.override("n1", True)
+        with pytest.raises(OSError):
+            state.override("n0", False)
+    assert list(state.overrides()) == ["n0"]
+    state.leave()
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_process_ends_without_a_fault_while_nothing_can_be_written(tmp_path: Path, code: int) -> None:
+    """The buffered word that it leaves was written again at the close, and ended the process with 1."""
+    state, other = SharedState(tmp_path), SharedState(tmp_path)
+    with disk_takes_nothing(code):
+        state.leaves()
+        state.leave()
+    assert other.others() == 0
+    other.leave()
+
+
+def test_little_written_at_a_time_is_written_whole(tmp_path: Path) -> None:
+    """A claim of which a part was written read as other figures."""
+    real = os.pwrite
+    with mock.patch("os.pwrite", lambda file, data, at: real(file, bytes(data)[:7], at)):
+        one, other = SharedState(tmp_path), SharedState(tmp_path)
+        assert one.publish(lambda _: CLAIM)
+        one.leaves()
+    assert other.others() == 1 and other.share() == 1 / (1 + LEAVING_WEIGHT)
+    assert published(other) == [[CLAIM]]
+    path = tmp_path / "claims" / other._registry.others[0]  # type: ignore[union-attr]
+    path.write_bytes(path.read_bytes()[:100])  # a kill in the middle of it
+    assert published(other) == [[None]]
+    for process in (one, other):
+        process.leave()
+
+
+def test_a_file_that_can_t_be_written_to_its_end_is_a_fault(tmp_path: Path) -> None:
+    with (
+        open(tmp_path / "f", "wb") as file,
+        mock.patch("os.pwrite", side_effect=[3, OSError(errno.ENOSPC, "")]),
+        pytest.raises(OSError),
+    ):
+        write_all(file.fileno(), b"standing")
+
+
+def test_two_that_take_over_at_once_get_files_of_their_own(tmp_path: Path) -> None:
+    (tmp_path / "fronts").mkdir()
+    first = ProcessRegistry(tmp_path / "fronts")
+    first.register(lambda name: None)
+    with disk_takes_nothing(errno.ENOSPC):
+        made = [ProcessRegistry(tmp_path / "fronts") for _ in range(2)]
+        for registry in made:
+            registry.register(lambda name: None)
+        names = {first.name, *(registry.name for registry in made)}
+        assert len(names) == 3 and first.look() == 2
+        third = ProcessRegistry(tmp_path / "fronts")
+        with pytest.raises(OSError):
+            third.register(lambda name: None)
+    for registry in (first, *made):
+        registry.close()
--- a/tests/test_volumes.py
+++ b/tests/test_volumes.py
@@ -20,7 +20,8 @@
 from umberlead.core.interface import Result
 from umberlead.core.records import Item
 from umberlead.core.volumes import CAME, Volumes
-from umberlead.shared import LEAVING, Shared
+from umberlead.handover.registry import LEAVING_WEIGHT
+from umberlead.handover.shared_state import SharedState
 
 RATE, BURST, SLACK, LOOK, TICK = 20.0, 40.0, 6.0, 100_000, 10_000
 GOLD = api.Plan("gold", limit_rate=RATE, limit_burst=BURST, limit_slack=SLACK)
@@ -42,14 +43,14 @@
     """One process of a front: it looks for others every 0.1 s, at times later, and sends all it may."""
 
     def __init__(self, root: Path, rng: random.Random, born: int) -> None:
-        self.volumes, self.shared, self.rng = Volumes(SET, born), Shared(root), rng
+        self.volumes, self.shared, self.rng = Volumes(SET, born), SharedState(root), rng
         self.part, self.looks = 0.0, born + rng.randrange(TICK, LOOK)
         self.serves = False
         self.queue, self.out = deque[Item](), list[tuple[int, Item, Result]]()
 
     def look(self, now: int) -> None:
         self.shared.others()
-        if (part := self.shared.part()) != self.part:
+        if (part := self.shared.share()) != self.part:
             self.part = part
             self.volumes.share(now, part)
         self.serves, self.looks = True, now + LOOK + self.rng.choice([0, 0, 50_000])
@@ -206,15 +207,15 @@
 
 
 def test_parts_of_processes_never_add_up_to_more_than_one(tmp_path: Path) -> None:
-    old, new = Shared(tmp_path), Shared(tmp_path)
-    assert [(s.others(), s.part()) for s in (old, new)] == [(1, 0.5), (1, 0.5)]
+    old, new = SharedState(tmp_path), SharedState(tmp_path)
+    assert [(s.others(), s.share()) for s in (old, new)] == [(1, 0.5), (1, 0.5)]
     old.leaves()
-    assert (old.part(), new.part()) == (LEAVING / (1 + LEAVING), 0.5)
-    assert (new.others(), new.part()) == (1, 1 / (1 + LEAVING))
+    assert (old.share(), new.share()) == (LEAVING_WEIGHT / (1 + LEAVING_WEIGHT), 0.5)
+    assert (new.others(), new.share()) == (1, 1 / (1 + LEAVING_WEIGHT))
     with mock.patch("builtins.open", side_effect=OSError(24, "")):  # no descriptor is free
-        assert (new.others(), new.part()) == (1, 1 / (1 + LEAVING))
+        assert (new.others(), new.share()) == (1, 1 / (1 + LEAVING_WEIGHT))
     old.leave()
-    assert (new.others(), new.part()) == (0, 1.0)
+    assert (new.others(), new.share()) == (0, 1.0)
     new.leave()
 
 
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -260,8 +260,8 @@
                 self.dirty[item.shard] = None  # what it stood before may go
             elif isinstance(event, api.ByHand):
                 self.by_hand(event)
-            elif isinstance(event, api.Part):
-                self.volumes.share(now, event.part)
+            elif isinstance(event, api.ProcessShare):
+                self.volumes.share(now, event.share)
         while self.due and self.due[0][0] <= now:
             _, _, what, args = heapq.heappop(self.due)
             what(*args)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -200,9 +200,9 @@
         self.invariants.taken_out(node, out)
         self._post(api.ByHand(node, out, at))
 
-    def has_part(self, part: float) -> None:
+    def set_process_share(self, part: float) -> None:
         """Of the volumes' limits this process has `part`, to 1, of its front's."""
-        self._post(api.Part(part))
+        self._post(api.ProcessShare(part))
 
     def pool(self) -> tuple[int, int]:
         """Nodes listed, and those of them left out, by hand or as they refuse to be reached."""
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -205,14 +205,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Part:
-    """Of what its front may send for a volume this process has `part`, above 0, to 1: processes that stand
+class ProcessShare:
+    """Of what its front may send for a volume this process has `share`, above 0, to 1: processes that stand
     beside each other never have more than 1 together. Told at the start, and again with each change."""
 
-    part: float
+    share: float
 
 
-Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand | Part
+Event = (
+    NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand | ProcessShare
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -20,6 +20,7 @@
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
 from umberlead.handover.places import Places
+from umberlead.handover.shared_state import SharedState
 from umberlead.limits import BODY_MOST, MORE, Reserve, deal, granted, held, to_come, with_surplus
 from umberlead.net.client_connections import Clients
 from umberlead.net.discovery import Watch
@@ -27,7 +28,6 @@
 from umberlead.net.node_pool import IDLE_KEEPALIVE_FRACTION, Pool
 from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
-from umberlead.shared import Shared
 from umberlead.telemetry import Syslog, logger
 
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
@@ -104,11 +104,11 @@
         self.groups: list[Clients] = []
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
-        self.shared, self.processes = Shared(conf.state), 1
+        self.shared, self.processes = SharedState(conf.state), 1
         self.places = Places(
             self.shared, self.pool, self.groups, self.doors, self.servers, self.clock, self.divide
         )  # fmt: skip
-        self.part = 0.0  # of what this front may send for a volume; none was told yet
+        self.process_share = 0.0  # of what this front may send for a volume; none was told yet
         if self.shared.fault:
             self.log.warning("nothing_shared", why=self.shared.fault)
         self.marks: dict[str, int] = {}  # chunk servers out by hand
@@ -182,14 +182,14 @@
 
     def look(self) -> None:
         """What other processes of this front, and calls at their doors, have changed."""
-        processes, marks = 1 + self.shared.others(), self.shared.marks()
+        processes, marks = 1 + self.shared.others(), self.shared.overrides()
         if processes != self.processes:
             self.log.info("processes", now=processes, before=self.processes)
             self.processes = processes
             self.limit()
-        if (part := self.shared.part()) != self.part:
-            self.part = part
-            self.engine.has_part(part)
+        if (share := self.shared.share()) != self.process_share:
+            self.process_share = share
+            self.engine.set_process_share(share)
         for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
             self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
             by_hand = self.engine.by_hand if self.lists is None else self.lists.mark
@@ -199,7 +199,7 @@
     def mark(self, node: str, out: bool) -> None:
         """An operator's call: it holds once it is answered."""
         with self.reserve.lent():  # what was answered must hold
-            self.shared.mark(node, out)
+            self.shared.override(node, out)
             self.look()
 
     def clients(self) -> Clients:
@@ -216,7 +216,7 @@
 
     def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
         self.engine.invariants.listening(clients.max_connections > 0 and self.pool.max_connections > 0)
-        share = self.shared.root is not None
+        share = self.conf.state is not None  # also where that can't be written now: another may stand there
         listener = Listener(handler, clients, address, self.loop, share)
         self.servers.append(listener)
         self.log.info("listening", address=":".join(map(str, listener.address)))
--- a/umberlead/handover/places.py
+++ b/umberlead/handover/places.py
@@ -5,11 +5,11 @@
 
 from umberlead.handover.claims import Claim, Use
 from umberlead.handover.division import divide, settled
+from umberlead.handover.shared_state import SharedState
 from umberlead.limits import connections, with_surplus
 from umberlead.net.client_connections import Clients
 from umberlead.net.listener import Listener
 from umberlead.net.node_pool import Pool
-from umberlead.shared import Shared
 
 SHORTAGE_LOOK_INTERVAL_US = 5_000  # between looks of a process that is short of places
 UNBOUNDED = 1_000_000  # more than any front's descriptors
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        shared: Shared,
+        shared: SharedState,
         pool: Pool,
         groups: Sequence[Clients],
         doors: Sequence[tuple[Listener, Clients]],
