Tell a chunk server's age by the process's own clock, whatever the wall clock does

Seen: after a step of the wall clock by an hour back, a chunk server that started cold got 68.6 requests of mean work within a window in which it bears 31.4 (forced on a real front, agent and server).

Checked and ruled out: timers and deadlines (the loop's and the wheel's clock runs on), the handling of a list (the change was taken within some ms), the slow start itself (without the step the same server gets 31 at most).

Lines at fault: `module_clock` in `front.py` is anchored to Unix time once, and `since_ms` is compared with it as it is told. After a step the two disagree by it: an hour back, and a cold server counts as warm; an hour ahead, and it counts as cold for an hour (`warming.warm` with a negative age).

Change: `recovery/start_times.py` converts each start once, as it is first told. Of the anchors that were seen to hold, the one that makes the server youngest counts; a start ahead of all is now; what a change tells for the first time is no older than lists are late. Steps are counted and logged (`wall_clock_stepped`).

The same mistake elsewhere: the time of a drain override is a file's time, by the wall clock too: converted alike. Slow start by process: two processes of a front each had all of its front's part of a cold server; each has its share now (`Head.part`).

Open: a process that begins behind a step, and whose first list is told by the unstepped clock, can't know.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -49,6 +49,7 @@
     def test_two_processes_have_one_front_s_limits_between_them(self) -> None:
         """Their memory and descriptors count together, and the one that is there must make room."""
         front = mock.Mock(processes=1, marks={}, groups=[], doors=[], handlers=[], held=(4, 0), lists=None)
+        front.start_times.local = lambda name, told, now: told
         front.shared = mock.Mock(others=lambda: 1, overrides=lambda: {"s": 5})
         front.conf = mock.Mock(sockets=400, memory=80 << 20, keepalive=15_000_000, objects=None)
         front.limit = lambda: Front.limit(front)
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,76 @@
+"""The age of a chunk server while the wall clock steps, and what it is sent by two processes of a front."""
+
+import pytest
+
+from tests.helpers import T0, head, settings, up
+from umberlead.core.interface import ProcessShare
+from umberlead.recovery.slow_start import window_units
+from umberlead.recovery.start_times import LATEST_NEWS_US, MAX_STEPS, StartTimes
+
+SECOND = 1_000_000
+HOUR = 3600 * SECOND
+NOW = 1_700_000_000 * SECOND
+
+
+def test_without_a_step_a_start_is_what_it_is_told_to_be() -> None:
+    times = StartTimes()
+    assert not times.observe(NOW, NOW + 1000)
+    assert times.local("a", NOW - 5 * SECOND, NOW) == NOW - 5 * SECOND - 1000
+    assert times.local("b", NOW - 2 * HOUR, NOW) == NOW - 2 * HOUR - 1000
+    assert times.local("c", 0, NOW) == 0
+
+
+@pytest.mark.parametrize("step", [-HOUR, -30 * SECOND, 30 * SECOND, HOUR])
+def test_a_start_behind_a_step_is_as_young_as_it_is(step: int) -> None:
+    """By the stepped clock it seemed an hour old, or to lie an hour ahead and to stay cold for that long."""
+    times = StartTimes()
+    assert times.observe(NOW, NOW + step)
+    wall = NOW + step
+    assert times.local("a", wall - 2 * SECOND, NOW) == NOW - 2 * SECOND
+
+
+@pytest.mark.parametrize("step", [-HOUR, -30 * SECOND, 30 * SECOND, HOUR])
+def test_a_start_before_a_step_that_is_told_behind_it_is_as_young_as_it_is(step: int) -> None:
+    times = StartTimes()
+    assert times.observe(NOW, NOW + step)
+    assert times.local("a", NOW - 2 * SECOND, NOW) == NOW - 2 * SECOND
+
+
+def test_what_was_told_keeps_its_age_through_all_steps_and_lists() -> None:
+    times = StartTimes()
+    first = times.local("a", NOW - 5 * SECOND, NOW)
+    for number in range(2 * MAX_STEPS):
+        now = NOW + (number + 1) * SECOND
+        assert times.observe(now, now + HOUR * (-1) ** number)
+        assert times.local("a", NOW - 5 * SECOND, now) == first
+    assert times.local("a", NOW + HOUR, NOW + 60 * SECOND) != first  # started anew
+
+
+def test_a_start_ahead_of_all_clocks_is_now() -> None:
+    assert StartTimes().local("a", NOW + HOUR, NOW) == NOW
+
+
+def test_news_of_a_start_long_ago_is_by_a_clock_that_is_off() -> None:
+    """A process that began behind the step knows only the one anchor."""
+    times = StartTimes()
+    old = NOW - HOUR
+    assert times.local("a", old, NOW) == old  # the first list has servers of any age
+    times.listed()
+    assert times.local("b", old - 1, NOW) == NOW and times.local("a", old, NOW) == old
+    late = NOW - LATEST_NEWS_US + 1
+    assert times.local("c", late, NOW) == late
+
+
+@pytest.mark.parametrize("heads", [1, 5, 40])
+def test_two_processes_of_a_front_send_a_cold_server_no_more_than_one(heads: int) -> None:
+    """Each had its front's whole part, so all fronts in a hand-over sent twice what the server bears."""
+    made = {
+        "heads": heads, "shards": 4, "cold_units": 200.0, "cold_share": 0.2, "cold_window": 2 * SECOND,
+        "warm_up": 10 * SECOND,
+    }  # fmt: skip
+    alone, beside = (head(T0, up("n0", started=T0), **made) for _ in range(2))
+    beside.handle(T0, [ProcessShare(0.5)])
+    node, limits = up("n0", started=T0), settings(**made)
+    whole = window_units(limits, node, T0, alone.part(0))
+    assert 2 * window_units(limits, node, T0, beside.part(0)) <= max(whole, 2 * 2 * limits.mean_units)
+    assert beside.part(0) == alone.part(0) / 2
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -323,10 +323,11 @@
 
     def part(self, shard: int) -> float:
         """This head's part of a shard's traffic: its own share of units that go there, over the even share,
-        is the head's even part in the mean of all. Who seldom asks leaves its part to others."""
+        is the head's even part in the mean of all. Who seldom asks leaves its part to others. Each of two
+        processes of a head has its share of that."""
         s, own, known = self.s, self.asked.get(shard, 0.0) + PRIOR, sum(self.asked.values())
         share = own / (known + PRIOR * s.shards) * s.shards if s.shards > 0 <= shard else 1.0
-        return max(min(share, PART * s.heads), 1.0) / s.heads
+        return max(min(share, PART * s.heads), 1.0) / s.heads * (self.volumes.part or 1.0)
 
     def pick(self, shard: int, units: float) -> tuple[float, NodeView | None]:
         """The shard's node that can take `units` soonest; of those, where an answer comes soonest. So new
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -15,7 +15,7 @@
 from umberlead import config
 from umberlead.core.counters import Counters
 from umberlead.core.engine import Engine
-from umberlead.core.interface import NodeList, NodeState
+from umberlead.core.interface import Node, NodeList, NodeState
 from umberlead.core.wheel import Wheel
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
@@ -28,6 +28,7 @@
 from umberlead.net.node_pool import IDLE_KEEPALIVE_FRACTION, Pool
 from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
+from umberlead.recovery.start_times import StartTimes
 from umberlead.telemetry import Syslog, logger
 
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
@@ -104,6 +105,7 @@
         self.groups: list[Clients] = []
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
+        self.start_times = StartTimes()
         self.shared, self.processes = SharedState(conf.state), 1
         self.places = Places(
             self.shared, self.pool, self.groups, self.doors, self.servers, self.clock, self.divide
@@ -118,7 +120,11 @@
         self.done = asyncio.Event()
         self.told_to_stop = self.stopping = False
 
-    def told(self, listing: config.Listing) -> None:
+    def told(self, listing: config.Listing, news: bool = True) -> None:
+        """A list, or a change of it; `news` unless it is what the configuration knew."""
+        listing = self._by_own_clock(listing)
+        if news:
+            self.start_times.listed()
         if self.lists is not None:
             from umberlead.membership.joining import server_of
 
@@ -134,6 +140,25 @@
                 known[endpoint.node.node] = endpoint.address
         self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
 
+    def _by_own_clock(self, listing: config.Listing) -> config.Listing:
+        """The list with chunk servers' starts by this process's clock: the wall clock may step."""
+        self._observe_wall_clock()
+        endpoints = tuple(
+            replace(endpoint, node=replace(endpoint.node, started=self._local_start(endpoint.node)))
+            if endpoint.node.started
+            else endpoint
+            for endpoint in listing.endpoints
+        )
+        return replace(listing, endpoints=endpoints)
+
+    def _local_start(self, node: Node) -> int:
+        return self.start_times.local(node.node, node.started, self.clock())
+
+    def _observe_wall_clock(self) -> None:
+        if self.start_times.observe(self.clock(), time.time_ns() // 1000):
+            self.counters.add("wall_clock_steps")
+            self.log.warning("wall_clock_stepped")
+
     def watch_lists(self, of: config.Lists) -> None:
         """The list in force comes from watched files: what only that needs is loaded only for it."""
         from umberlead.membership.joining import start
@@ -193,7 +218,9 @@
         for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
             self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
             by_hand = self.engine.by_hand if self.lists is None else self.lists.mark
-            by_hand(node, node in marks, marks.get(node, 0))
+            by_hand(
+                node, node in marks, self.start_times.local(f"out {node}", marks.get(node, 0), self.clock())
+            )
         self.marks = marks
 
     def mark(self, node: str, out: bool) -> None:
@@ -231,7 +258,7 @@
             self.loop.call_soon(self.reload)
         if conf.lists is not None:
             self.watch_lists(conf.lists)
-        self.told(conf.known)
+        self.told(conf.known, news=False)
         if conf.discovery is not None:
             self.watch = Watch(
                 conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
@@ -313,6 +340,7 @@
         self.log.info("peers", address=self.peers[0].gossip.address)
 
     def sweep(self) -> None:
+        self._observe_wall_clock()
         self.look()
         if self.rooms is not None:
             self.rooms.tick()
