Count a request's time from its arrival where its connection waited for its accept

Lines at fault: `ServerConnection.data_received` stamps a request as it is read. What it waited with the system, in the listener's queue behind a failed accept or a pause for want of room, was given to it once more.

Change: the listener notes since when connections wait, and the first read of one that did asks the system how long ago its bytes came (`tcpi_last_data_recv`); where that is not told, the read counts as before.

The same mistake elsewhere: the end of an answer of no told length. `was_reset` took ETIMEDOUT and EHOSTUNREACH for an end, since only ECONNRESET was looked for; a broken connection is no end.

--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -16,7 +16,7 @@
 from umberlead.standins.soak.plan import Size
 from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, read
 from umberlead.standins.soak.run import Run
-from umberlead.standins.soak.scenario import FRONT_HOST, PORT, limits
+from umberlead.standins.soak.scenario import COLD_WINDOW_SECONDS, FRONT_HOST, PORT, limits
 
 HOUR_NS = 3600 * 1_000_000_000
 SEED = 1
@@ -92,6 +92,7 @@
     """Its start seemed an hour old, so it got all at once what it can't bear."""
 
     async def steps(run: Run) -> None:
+        await asyncio.sleep(COLD_WINDOW_SECONDS)  # in which a new process sends no cold server anything
         run.step_clock(-HOUR_NS)
         server = await run.start_server(0, "cold", cold=True)
         run.fronts[0].agent.tell(run.entry(server, cold=True))
--- a/umberlead/net/connection_state.py
+++ b/umberlead/net/connection_state.py
@@ -30,6 +30,7 @@
         write_blocked: a reply waits here for the client to read it.
         state_since_us: when its present state began.
         context: the handler's own.
+        waited_since_us: since when, at the earliest, it may have waited for its accept; 0 if it did not.
         close_reason: why it ended, or ends; None while it stands.
         rejected_target: the target of what was refused unread.
         status: the HTTP status of the latest reply.
@@ -52,6 +53,7 @@
         self.closed = self.evicted = self.client_disconnected = False
         self.state_since_us = 0
         self.context: Any = None
+        self.waited_since_us = 0
         self.close_reason: CloseReason | None = None
         self.rejected_target = b""
         self.status = self.length = 0
--- a/umberlead/net/listener.py
+++ b/umberlead/net/listener.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 from umberlead.config import Address
 from umberlead.limits import LOCAL_RESOURCE_ERRNOS, surplus
-from umberlead.net.client_connections import Clients
+from umberlead.net.client_connections import ClientConnection, Clients
 from umberlead.net.server_connection import Handler, ServerConnection
 
 ACCEPT_BATCH = 16  # connections accepted in a turn: a flood must not hold up those that are here
@@ -37,6 +38,7 @@
         """
         self.handler, self.clients, self.loop = handler, clients, loop
         self.is_open, self.paused, self.accepting = True, False, 0
+        self._waiting_since_us = 0  # since when connections wait with the system for more than a turn
         self.tasks: dict[asyncio.Task[Any], ServerConnection] = {}  # of connections being accepted
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
@@ -76,25 +78,35 @@
                 return
             try:
                 sock, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
             except OSError as fault:
-                if accepted:  # a lack of descriptors is told though nobody may wait: the next turn knows
-                    return
-                clients.counters.add("accepts_failed")
-                clients.log("accept_failed", why=str(fault))
-                if fault.errno in LOCAL_RESOURCE_ERRNOS:  # what is held now must go first
-                    clients.evict(evictable)
-                return self._pause()
+                # A lack of descriptors is told though nobody may wait: behind others the next turn knows.
+                return self._accept_failed(fault, evictable, first=not accepted)
             self._connect(sock)
             excess += 1
             if excess > 0 and clients.evict(evictable):
                 excess -= 1
 
+    def _accept_failed(self, fault: OSError, evictable: Iterator[ClientConnection], first: bool) -> None:
+        """End a turn's accepts: nobody waits, the next turn goes on, or a pause is due."""
+        if isinstance(fault, BlockingIOError):
+            self._waiting_since_us = 0
+            return
+        self._note_waiting()
+        if not first or isinstance(fault, InterruptedError | ConnectionAbortedError):
+            return
+        clients = self.clients
+        clients.counters.add("accepts_failed")
+        clients.log("accept_failed", why=str(fault))
+        if fault.errno in LOCAL_RESOURCE_ERRNOS:  # what is held now must go first
+            clients.evict(evictable)
+        self.loop.call_later(ACCEPT_RETRY_SECONDS, self.resume)
+        self._pause()
+
     def _connect(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.accepting += 1
         conn = ServerConnection(self.handler, self.clients)
+        conn.waited_since_us = self._waiting_since_us
         task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: conn, sock))
         self.tasks[task] = conn
         task.add_done_callback(self._connected)
@@ -105,7 +117,11 @@
         if not task.cancelled() and task.exception() is not None:  # it left before it was taken
             self.clients.counters.add("accepts_failed")
 
+    def _note_waiting(self) -> None:
+        self._waiting_since_us = self._waiting_since_us or self.clients.clock()
+
     def _pause(self) -> None:
+        self._note_waiting()
         self.paused = True
         self.loop.remove_reader(self.socket)
 
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -131,6 +131,10 @@
         then, for its client's does.
         """
         now_us = self.clients.clock()
+        if self.waited_since_us:
+            since_us, self.waited_since_us = self.waited_since_us, 0
+            age_us = self._socket.last_data_age_us()
+            return now_us if age_us is None else max(since_us, now_us - age_us)
         if not self._unread_since_us:
             return now_us
         since_us = self._unread_since_us
--- a/umberlead/net/socket_state.py
+++ b/umberlead/net/socket_state.py
@@ -13,6 +13,10 @@
 # The peer ended its sending, closed or reset the connection.
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
+# Of `struct tcp_info` in linux/tcp.h: the state, and `tcpi_last_data_recv`.
+TCP_INFO_BYTES, TCP_INFO_STATE, LAST_DATA_RECEIVED_OFFSET = 56, 0, 52
+LAST_DATA_RECEIVED_MS = struct.Struct("=I")
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of no time
 
 
@@ -40,6 +44,19 @@
             return 0
         return sum(events for _, events in self._poll.poll(0))
 
+    def last_data_age_us(self) -> int | None:
+        """Return how long ago the peer's latest bytes came, within some ms; None where it is not told."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return None
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        except OSError:
+            return None
+        if len(info) < TCP_INFO_BYTES or not info[TCP_INFO_STATE]:
+            return None
+        return LAST_DATA_RECEIVED_MS.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)[0] * 1000
+
     def unsent_bytes(self) -> int:
         """Return how many bytes wait here or with the system for the peer to take them."""
         unsent = self._transport.get_write_buffer_size()
@@ -54,14 +71,17 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def was_reset(self) -> bool:
-        """Tell a reset from an end: libuv reports an end where a reset came with the last bytes."""
+        """Tell a break from an end: libuv reports an end where a break came with the last bytes.
+
+        A reset, or the system's own word that the peer can't be reached any more (ETIMEDOUT, EHOSTUNREACH).
+        """
         with self._duplicate() as sock:
             try:
                 sock.recv(1, socket.MSG_DONTWAIT)
-            except ConnectionResetError:
-                return True
+            except BlockingIOError:
+                return False
             except OSError:
-                pass
+                return True
         return False
 
     def stop_sending(self) -> None:
