Keep the wall clock's anchors for the processes that begin behind a step

Traced: the process that sent two thirds of it (62 of 81 units) had begun while its wall clock was an hour off; the server's start was told by a clock that it had never seen, and seemed 27 s old, so the server counted as warm.

Change: `handover/clock_anchors.py` keeps wall less monotonic time in the state folder, by boot; a new process knows the anchors of those before it. Half a line, another boot or a folder that takes no writes give none.

--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,9 +1,13 @@
 """The age of a chunk server while the wall clock steps, and what it is sent by two processes of a front."""
 
+from pathlib import Path
+from unittest import mock
+
 import pytest
 
 from tests.helpers import T0, head, settings, up
 from umberlead.core.interface import ProcessShare
+from umberlead.handover.clock_anchors import MAX_ANCHORS, ClockAnchors
 from umberlead.recovery.slow_start import window_units
 from umberlead.recovery.start_times import LATEST_NEWS_US, MAX_STEPS, StartTimes
 
@@ -61,6 +65,39 @@
     assert times.local("c", late, NOW) == late
 
 
+@pytest.mark.parametrize("step", [-HOUR, -30 * SECOND, 30 * SECOND, HOUR])
+def test_a_process_that_begins_behind_a_step_knows_the_anchors_of_those_before_it(
+    tmp_path: Path, step: int
+) -> None:
+    """A start told by the unstepped clock seemed older by the step, and the server warm."""
+    first = ClockAnchors(tmp_path / "clock")
+    assert first.read() == []
+    first.add(5 * SECOND)
+    own = 5 * SECOND + step
+    times = StartTimes([anchor - own for anchor in ClockAnchors(tmp_path / "clock").read()])
+    now = NOW + step  # by its own clock, which is anchored to the stepped one
+    assert times.local("a", NOW - 2 * SECOND, now) == now - 2 * SECOND
+
+
+def test_anchors_of_another_boot_half_written_or_unwritable_are_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    anchors = ClockAnchors(tmp_path / "clock")
+    for anchor in range(MAX_ANCHORS + 3):
+        anchors.add(-anchor)
+    kept = [-anchor for anchor in range(3, MAX_ANCHORS + 3)]
+    assert anchors.read() == kept
+    whole = (tmp_path / "clock").read_bytes()
+    (tmp_path / "clock").write_bytes(whole[:-2])
+    assert anchors.read() == kept[:-1]
+    (tmp_path / "clock").write_bytes(b"other boot\n7\n")
+    assert anchors.read() == []
+    monkeypatch.setattr(Path, "write_bytes", mock.Mock(side_effect=OSError(28, "")))
+    anchors.add(1)
+    ClockAnchors(None).add(1)
+    assert anchors.read() == ClockAnchors(None).read() == []
+
+
 @pytest.mark.parametrize("heads", [1, 5, 40])
 def test_two_processes_of_a_front_send_a_cold_server_no_more_than_one(heads: int) -> None:
     """Each had its front's whole part, so all fronts in a hand-over sent twice what the server bears."""
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -28,7 +28,7 @@
 from umberlead.net.node_pool import IDLE_KEEPALIVE_FRACTION, Pool
 from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
-from umberlead.recovery.start_times import StartTimes
+from umberlead.recovery.start_times import STEP_US, StartTimes
 from umberlead.telemetry import Syslog, logger
 
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
@@ -105,8 +105,12 @@
         self.groups: list[Clients] = []
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
-        self.start_times = StartTimes()
         self.shared, self.processes = SharedState(conf.state), 1
+        self.anchor_us = self.clock() - time.monotonic_ns() // 1000
+        anchors = self.shared.clock_anchors.read()
+        self.start_times = StartTimes([anchor - self.anchor_us for anchor in anchors])
+        if all(abs(anchor - self.anchor_us) >= STEP_US for anchor in anchors):
+            self.shared.clock_anchors.add(self.anchor_us)
         self.places = Places(
             self.shared, self.pool, self.groups, self.doors, self.servers, self.clock, self.divide
         )  # fmt: skip
@@ -156,6 +160,7 @@
 
     def _observe_wall_clock(self) -> None:
         if self.start_times.observe(self.clock(), time.time_ns() // 1000):
+            self.shared.clock_anchors.add(time.time_ns() // 1000 - time.monotonic_ns() // 1000)
             self.counters.add("wall_clock_steps")
             self.log.warning("wall_clock_stepped")
 
--- a/umberlead/handover/shared_state.py
+++ b/umberlead/handover/shared_state.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from umberlead.handover.claims import Claim, parse
+from umberlead.handover.clock_anchors import ClockAnchors
 from umberlead.handover.drain_overrides import DrainOverrides
 from umberlead.handover.registry import PERMANENT_ERRNOS, ProcessRegistry, write_all
 
@@ -30,6 +31,7 @@
     Attributes:
         root: the folder; None where there is none, and this process is the only one.
         fault: why nothing is shared, or could be written so far; "" where all is well.
+        clock_anchors: where the wall clock stood, as the processes have seen it.
     """
 
     def __init__(self, root: Path | None) -> None:
@@ -40,6 +42,7 @@
             self.root, self.fault = None, permanent
         root = self.root
         self._registry = None if root is None else ProcessRegistry(root / "fronts")
+        self.clock_anchors = ClockAnchors(None if root is None else root / "clock")
         self._overrides = DrainOverrides(None if root is None else root / "offline")
         if self._registry is not None:
             self.others()
--- a/umberlead/recovery/start_times.py
+++ b/umberlead/recovery/start_times.py
@@ -7,6 +7,8 @@
 serves less. No I/O; all times are whole microseconds.
 """
 
+from collections.abc import Sequence
+
 STEP_US = 250_000  # by which two looks at the wall clock must differ for a step; less is its slewing
 MAX_STEPS = 16  # that are remembered, the oldest given up first
 LATEST_NEWS_US = 60_000_000  # lists are not further behind: a start that is news is no older than that
@@ -16,9 +18,13 @@
 class StartTimes:
     """Converts starts told in Unix time to this process's clock, each once: what is told again is no news."""
 
-    def __init__(self) -> None:
-        """Begin with a clock that agrees with the wall clock."""
-        self._ahead_us = [0]  # of this clock, the wall clock: as seen so far, the latest last
+    def __init__(self, ahead_us: Sequence[int] = ()) -> None:
+        """Begin with a clock that agrees with the wall clock.
+
+        Args:
+            ahead_us: of this clock, the wall clock as earlier processes saw it, the oldest first.
+        """
+        self._ahead_us = [*ahead_us, 0]  # of this clock, the wall clock: as seen so far, the latest last
         self._known: dict[tuple[str, int], int] = {}
         self._listed = False
 
