--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -115,6 +115,15 @@
         self.written(other)
         assert self.broken() == {"never_twice"}
 
+    def test_an_attempt_that_is_dialled_again_is_no_second_one(self) -> None:
+        of = request("once")
+        attempt = self.written(of)
+        self.checker.written(attempt, 0)
+        assert self.broken() == set()
+        self.checker.ended(attempt, Result.RESET)
+        self.checker.written(attempt, 0)
+        assert self.broken() == {"never_twice"}
+
     def test_one_attempt_too_many_is_counted(self) -> None:
         of = request()
         for _ in range(self.settings.max_attempts):
--- a/tests/test_lists_watch.py
+++ b/tests/test_lists_watch.py
@@ -283,6 +283,32 @@
     play(test)
 
 
+def test_a_first_list_that_could_not_be_saved_is_saved_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was saved with the next change, which may never come."""
+
+    async def test() -> None:
+        bench = Bench(tmp_path)
+        bench.main.write_text(sheet(1, "a"))
+        whole, faults = snapshot.write, [OSError(28, "No space left on device")]
+
+        def full_once(path: Path, data: bytes) -> None:
+            if faults:
+                raise faults.pop()
+            whole(path, data)
+
+        monkeypatch.setattr(snapshot, "write", full_once)
+        service = bench.open()
+        await bench.until(lambda: bench.counters["list_snapshots_saved"], "not saved")
+        service.close()
+        assert bench.saved is not None
+        found = snapshot.read(bench.saved)
+        assert found is not None and found[0].version == 1
+
+    play(test)
+
+
 def test_a_list_that_is_held_waits_for_the_operator(tmp_path: Path) -> None:
     async def test() -> None:
         bench = Bench(tmp_path)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,9 +6,11 @@
 from umberlead.standins.soak.judge import Evidence, Limits, judge
 from umberlead.standins.soak.plan import FRONT_ENDS, FRONT_ENDS_SECONDS, Size, Trouble, draw
 from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, Writer, read
+from umberlead.standins.soak.run import play
 
 SECOND = 1_000_000_000
 LIMITS = Limits(frozenset(("store",)), 3, 10.0, 0.2, 2 * SECOND, 8 * SECOND, 1.0)
+CI_SEED, CI_SECONDS = 11, 14.0
 
 
 def client(id_: str = "a", **changed: Any) -> ClientRecord:
@@ -112,3 +114,10 @@
     with open(path, "ab") as file:
         file.write(b'{"at":2,"what":"fro')
     assert list(read(path, Event)) == [event]
+
+
+def test_a_short_run_of_a_fixed_seed_keeps_all_rules(tmp_path: Path) -> None:
+    verdict = play(tmp_path, CI_SEED, CI_SECONDS, Size(4, 6, 4), list(Trouble))
+    assert verdict.violations == [], verdict.violations
+    assert sum(verdict.counts.values()) > 1000 and verdict.injected > 0
+    assert verdict.counters["invariant_violations"] == 0
--- a/umberlead/membership/service.py
+++ b/umberlead/membership/service.py
@@ -125,6 +125,10 @@
     def open(self) -> None:
         """Watch from here on."""
         self._task = self.loop.create_task(self._run())
+        listing = self.machine.listing
+        unsaved = listing is not None and listing.digest != self._saved
+        if self.conf.snapshot is not None and unsaved and self.machine.origin == "files":
+            self._saving = self.loop.create_task(self._save())  # the disk may have been full for a moment
 
     def close(self) -> None:
         self._closed = True
--- a/umberlead/net/server_connection.py
+++ b/umberlead/net/server_connection.py
@@ -107,9 +107,10 @@
             return
         self.close_reason = reason
         self.clients.counters.add(f"clients_closed_{reason.value}")
-        by_client = reason is CloseReason.CLIENT_LEFT
+        # Who left is owed nothing, and the client of a reply that breaks off sees that it is not whole.
+        owed = reason not in (CloseReason.CLIENT_LEFT, CloseReason.BROKEN_OFF) and self.owes_answer()
         if self.clients.on_close is not None:
-            self.clients.on_close(not by_client and self.owes_answer(), reason.value, self.call_ids())
+            self.clients.on_close(owed, reason.value, self.call_ids())
 
     def data_received(self, data: bytes) -> None:
         """Parse what came, or keep it until its turn."""
--- a/umberlead/standins/soak/client.py
+++ b/umberlead/standins/soak/client.py
@@ -129,9 +129,16 @@
         return True
 
     def _crossed(self) -> None:
-        self._end("eof")
+        self._end("reset" if self._was_reset() else "eof")
         self.transport.abort()
 
+    def _was_reset(self) -> bool:
+        """Tell whether a reset followed the end: nothing is read any more that would tell of it."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End what waits."""
         self.ended = True
--- a/umberlead/telemetry.py
+++ b/umberlead/telemetry.py
@@ -90,7 +90,7 @@
     def _write(self, line: str) -> bool:
         try:
             if not self._collector:
-                os.write(sys.stderr.fileno(), line.encode() + b"\n")
+                self._write_whole(sys.stderr.fileno(), line.encode() + b"\n")
                 return True
             if self._sock is None:
                 self._sock = self._connect()
@@ -104,6 +104,12 @@
                 self._sock = None
             return not self._collector  # without standard error there is nowhere left to write
 
+    @staticmethod
+    def _write_whole(descriptor: int, octets: bytes) -> None:
+        """To its end, however little of it the system takes at once."""
+        while octets:
+            octets = octets[os.write(descriptor, octets) :]
+
     def _connect(self) -> socket.socket:
         if self._collector.startswith("unix://"):
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
