Refuse the least valuable request before those that wait hold all places of clients

Ruled out: descriptors (193 of 384), accepts (none failed, no listener paused), late or slow second processes.

Cause: nothing bounds what waits. Requests wait up to their aims and hold their clients' connections; the next ones, of whatever worth, find none.

Change: `core/overload.py`: a quarter of the descriptors may be open requests (a front's two processes divide it); beyond that, once what can go has gone, the waiting one of least value is refused, the latest first. Not with the object API, whose clients have several requests on a connection.

`core/client_retries.py` learns whether refused clients come again where repeats aren't marked; where not, little time left is no sign of a further try.

--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,7 +5,8 @@
 
 from tests.helpers import READ, T0, ask, end, feed, head, up
 from umberlead.core import linear
-from umberlead.core.decide import EFFORT, FORGET, GOAL, Controller, Lane
+from umberlead.core.controller import CONTROL_COST, FORGETTING_FACTOR, TARGET_LATENCY_RATIO, Controller
+from umberlead.core.decide import Lane
 from umberlead.core.records import Item
 
 
@@ -15,8 +16,10 @@
     y = [1.7, 0.4]
     p = np.eye(4) * 100.0
     error = y - np.hstack([-np.eye(2), np.zeros((2, 2))]) @ phi
-    want_x = np.hstack([-np.eye(2), np.zeros((2, 2))]) + np.outer(error, phi) @ p / (FORGET + phi @ p @ phi)
-    factor = 1 + (FORGET - 1) * (phi @ np.linalg.inv(p) @ phi) / (phi @ phi) ** 2
+    want_x = np.hstack([-np.eye(2), np.zeros((2, 2))]) + np.outer(error, phi) @ p / (
+        FORGETTING_FACTOR + phi @ p @ phi
+    )
+    factor = 1 + (FORGETTING_FACTOR - 1) * (phi @ np.linalg.inv(p) @ phi) / (phi @ phi) ** 2
     c.learn(y)
     assert np.allclose(c.x, want_x)
     assert np.allclose(c.info, np.linalg.inv(p) + factor * np.outer(phi, phi))
@@ -46,8 +49,8 @@
     y, w = [1.4, 0.6, 2.0], np.diag(c.w)
 
     def cost(u: np.ndarray) -> float:
-        miss = w @ (np.array(c.x) @ np.concatenate([u, y]) - GOAL)
-        return float(miss @ miss + EFFORT**2 * (u - c.rest) @ (u - c.rest))
+        miss = w @ (np.array(c.x) @ np.concatenate([u, y]) - TARGET_LATENCY_RATIO)
+        return float(miss @ miss + CONTROL_COST**2 * (u - c.rest) @ (u - c.rest))
 
     u = np.array(c.law(y))
     assert np.isclose(u.sum(), 1.0)
--- a/umberlead/core/decide.py
+++ b/umberlead/core/decide.py
@@ -1,7 +1,7 @@
 """Every decision of a head. The types it speaks are in interface.py, beside this file.
 
 Requests leave their shard's lane by start tag under a bound of units out at the node; the plan shares behind
-the tags come from the paper's estimator and law (14). The rest guards the rules."""
+the tags come from the paper's estimator and law (14), in controller.py. The rest guards the rules."""
 
 import heapq
 import random
@@ -11,10 +11,12 @@
 from itertools import count
 
 from umberlead.core import interface as api
-from umberlead.core import linear as la
 from umberlead.core.buckets import NEVER
+from umberlead.core.client_retries import ClientRetries
+from umberlead.core.controller import MIN_SHARE, Controller
 from umberlead.core.interface import Effect, NodeState, Reason, Result
 from umberlead.core.level import Level
+from umberlead.core.overload import WaitingBound
 from umberlead.core.records import Item, Try
 from umberlead.core.volumes import Volumes
 from umberlead.core.weighted import Smooth
@@ -22,12 +24,6 @@
 from umberlead.recovery.warming import rest, warm
 
 INTERVAL = 500_000  # us between control steps: the paper's interval for its file server
-FEW = 5  # answers under which shares stay (Fig. 3 of the paper): the interval goes on until it has them
-FORGET = 0.95  # forgetting factor: about twenty intervals of memory along an excited direction
-EFFORT = 1.0  # diagonal of Q, in the unit of normalised plan weights
-GOAL = 1.0  # wanted mean time over aim
-INFORMATION = 0.01  # diagonal of the initial P^-1: P(0) = 100 I
-FLOOR = 0.02  # least share of a plan
 BOUND = 8.0  # mean-size requests: most that one head has out at a node
 TARGET = 0.33  # wanted time at a node, in the smallest class aim: the rest is left for waiting here
 CUT = 0.5  # share of its own units by which a late answer lowers the bound
@@ -46,52 +42,6 @@
 PART = 1 / 3  # most of a shard's traffic that a head takes for its own
 
 
-class Controller:
-    """Owns the plan shares: recursive least squares (4) and law (14), order one."""
-
-    def __init__(self, weights: list[float]) -> None:
-        n = self.n = len(weights)
-        self.share = self.rest = self.w = [w / sum(weights) for w in weights]  # W has them on its diagonal
-        self.y = [1.0] * n
-        self.x = [minus + [0.0] * n for minus in la.diagonal(n, -1.0)]  # [B0 A1]
-        self.info = la.diagonal(2 * n, INFORMATION)
-        self.phi = self.share + self.y
-
-    def learn(self, y: la.Vector) -> None:
-        """(4), on the information matrix. Forgetting acts along phi only and never takes information
-        below nothing, so the covariance stays finite however little the input moves."""
-        phi, p_phi = self.phi, la.solve_one(self.info, self.phi)
-        scale = 1 / (FORGET + la.dot(phi, p_phi))
-        self.x = la.add_outer(
-            self.x, [a - b for a, b in zip(y, la.times(self.x, phi), strict=True)], p_phi, scale
-        )
-        kept = 1 + (FORGET - 1) * la.dot(phi, la.times(self.info, phi)) / la.dot(phi, phi) ** 2
-        self.info = la.add_outer(self.info, phi, phi, max(kept, 0.0))
-
-    def law(self, y: la.Vector) -> la.Vector:
-        """(14): shares summing to one that bring the next y nearest the goal. Effort is counted from the
-        plan weights: from zero, the plan of most weight would start with the least share."""
-        b, a = [row[: self.n] for row in self.x], [row[self.n :] for row in self.x]
-        s = la.inverse(la.gram(b, self.w, EFFORT**2))
-        miss = [w * w * (GOAL - seen) for w, seen in zip(self.w, la.times(a, y), strict=True)]
-        pull = [v + EFFORT**2 * r for v, r in zip(la.times(la.transposed(b), miss), self.rest, strict=True)]
-        free, sums = la.times(s, pull), [sum(row) for row in s]
-        return [u - (sum(free) - 1) / sum(sums) * t for u, t in zip(free, sums, strict=True)]
-
-    def step(self, sums: list[float], counts: list[int]) -> None:
-        """One interval: sums and counts of time over aim, a plan each. With few answers it goes on."""
-        if sum(counts) >= FEW:
-            y = [s / c if c else old for s, c, old in zip(sums, counts, self.y, strict=True)]
-            self.learn(y)
-            u = self.law(y)
-            lift = min(*u, 0.0)
-            u = [v - lift for v in u]
-            u = [max(v / sum(u), FLOOR) for v in u]
-            self.share, self.y = [v / sum(u) for v in u], y
-            sums[:], counts[:] = [0.0] * self.n, [0] * self.n
-        self.phi = self.share + self.y
-
-
 class NodeView:
     """What this head knows of one node: bound, health, cold window."""
 
@@ -233,6 +183,8 @@
         self.stored = dict[str, int](), dict[str, int]()  # where new objects went; this span, last
         self.patience: dict[str, int] = {}  # most time a client of the class has left on arrival
         self.taken, self.resent = deque[int](), deque[int]()  # when: the budget's two counts
+        self.bound, self.open_requests = WaitingBound(), 0
+        self.client_retries = ClientRetries()
         self.due: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
         self.seq = count()
         self.dirty: dict[int, None] = {}  # shards to look at before this batch ends
@@ -262,11 +214,14 @@
                 self.by_hand(event)
             elif isinstance(event, api.ProcessShare):
                 self.volumes.share(now, event.share)
+            elif isinstance(event, api.OpenLimit):
+                self.bound.limit = event.requests
         while self.due and self.due[0][0] <= now:
             _, _, what, args = heapq.heappop(self.due)
             what(*args)
         while self.dirty:
             self.pump(self.dirty.popitem()[0])
+        self.shed()  # what could go has gone
         if self.due and (self.armed <= now or self.due[0][0] < self.armed):
             self.armed = self.due[0][0]
             self.acts.append(api.SetTimer(self.armed - now, "due"))
@@ -358,13 +313,16 @@
     def take(self, req: api.Request) -> None:
         """A new request. A client's second try has less time left than the longest seen for its class: its
         aim is counted from where its first try must have begun. Where clients mark their repeats, any other
-        is a first try however impatient its client (ib57330); where not, impatience still looks late."""
+        is a first try however impatient its client (ib57330); where not, impatience looks late unless those
+        that were refused are seen not to come again."""
         now, cls = self.now, self.classes[req.class_name]
         self.taken.append(now)
         patience = self.patience[cls.name] = max(self.patience.get(cls.name, 0), req.give_up - now)
-        first = self.s.marked and not req.repeat
+        again = self.client_retries.arrived((req.volume, req.key, req.class_name), now)
+        first = not req.repeat if self.s.marked else not again and self.client_retries.rare()
         aim_at = min(cls.aim + (now if first else req.give_up - patience), req.give_up)
         item = self.items[req.request] = Item(req, cls, self.plans[req.plan], now, aim_at, next(self.seq))
+        item.again = again
         self.volumes.asked(req, self.s.plans[item.plan], now)
         if req.shard >= 0:
             self.asked[req.shard] = self.asked.get(req.shard, 0.0) + req.units
@@ -374,8 +332,17 @@
         else:
             self.hold(item)
         self.at(aim_at, self.give_up, item)
+        self.open_requests += 1
+
+    def shed(self) -> None:
+        """Refuse of those that wait the least valuable, while more are open than there are places for."""
+        while (item := self.bound.excess(self.open_requests)) is not None:
+            self.give_up(item, Reason.OVERLOAD)
 
     def hold(self, item: Item) -> None:
+        owed = self.volumes[item.req.volume].due
+        due = not owed.wait(self.now, min(item.req.units, owed.most))
+        self.bound.add(item, self.value(item, due))
         shard, volume = item.shard, item.req.volume
         lane = self.lanes.get(shard) or self.lanes.setdefault(shard, Lane(len(self.plans)))
         lane.push(item)
@@ -407,6 +374,8 @@
         keyed_for_all = item.cls.effect is Effect.KEYED and item.cls.group == "all"
         if item.ran_at is None or keyed_for_all or item.cls.effect is Effect.SAFE:
             self.acts.append(api.Refuse(item.req.request, self.s.retry_after_max, reason))
+            if not item.again:
+                self.client_retries.refused((item.req.volume, item.req.key, item.req.class_name), self.now)
         else:
             self.acts.append(api.Fail(item.req.request, reason))
         self.conclude(item)
@@ -416,6 +385,7 @@
         if not item.done:
             self.sums[item.plan] += (self.now - item.came) / item.cls.aim
             self.counts[item.plan] += 1
+            self.open_requests -= 1
         item.done, item.held = True, False
         if item.out:
             return
@@ -476,7 +446,7 @@
             else:
                 owed.have -= units * due
             self.volumes.charge(item)
-            lane.take(item, self.control.share[item.plan] * max(value, FLOOR))
+            lane.take(item, self.control.share[item.plan] * max(value, MIN_SHARE))
             self.tag(shard, volume)
             item.out[item.tries] = view.send(self.now, units)
             self.at(view.overdue(self.now, units), self.overdue, item, item.tries)
--- a/umberlead/core/engine.py
+++ b/umberlead/core/engine.py
@@ -204,6 +204,10 @@
         """Of the volumes' limits this process has `part`, to 1, of its front's."""
         self._post(api.ProcessShare(part))
 
+    def set_open_limit(self, requests: int) -> None:
+        """So many requests may be open; beyond that those of least value are refused. 0 for any number."""
+        self._post(api.OpenLimit(requests))
+
     def pool(self) -> tuple[int, int]:
         """Nodes listed, and those of them left out, by hand or as they refuse to be reached."""
         head = self.head
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -212,8 +212,25 @@
     share: float
 
 
+@dataclass(frozen=True, slots=True)
+class OpenLimit:
+    """From now on so many requests may be open at once, 0 for any number."""
+
+    requests: int
+
+
 Event = (
-    NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand | ProcessShare
+    NodeList
+    | ListFailed
+    | Request
+    | Streaming
+    | Outcome
+    | ClientGone
+    | Probed
+    | Wake
+    | ByHand
+    | ProcessShare
+    | OpenLimit
 )
 
 
--- /dev/null
+++ b/umberlead/core/overload.py
@@ -0,0 +1,48 @@
+"""Which request to refuse where more wait than there are places for their clients' connections.
+
+A request that waits holds its client's connection. Where those that wait hold nearly all that clients may
+have, the next ones are kept out unread, whatever they are worth. So a bound is kept below that, and the
+request of least value goes. Free of I/O.
+"""
+
+import heapq
+import itertools
+
+from umberlead.core.records import Item
+
+MIN_PRUNED = 16  # entries, of which a fourth may be dropped at once
+
+
+class WaitingBound:
+    """The requests that wait, by value.
+
+    Attributes:
+        limit: how many requests may be open, waiting or out at a node; 0 for any number.
+    """
+
+    def __init__(self) -> None:
+        """Begin without a bound."""
+        self.limit = 0
+        self._waiting: list[tuple[float, int, int, Item]] = []
+        self._number = itertools.count()
+
+    def add(self, item: Item, value: float) -> None:
+        """Note that a request waits, and what a unit of it earns."""
+        heapq.heappush(self._waiting, (value, -item.seq, next(self._number), item))
+
+    def excess(self, open_requests: int) -> Item | None:
+        """Return the request to refuse where so many are open: of the least value the one that came last."""
+        if not self.limit or open_requests <= self.limit:
+            self._prune(open_requests)
+            return None
+        while self._waiting:
+            item = heapq.heappop(self._waiting)[3]
+            if item.held:
+                return item
+        return None
+
+    def _prune(self, open_requests: int) -> None:
+        """Drop what waits no more, so that the list does not grow."""
+        if len(self._waiting) > 4 * max(open_requests, self.limit, MIN_PRUNED):
+            self._waiting = [entry for entry in self._waiting if entry[3].held]
+            heapq.heapify(self._waiting)
--- a/umberlead/core/records.py
+++ b/umberlead/core/records.py
@@ -33,6 +33,7 @@
     shard: int = field(init=False)  # the request's; a new object's once it was sent
     out: dict[int, Try] = field(default_factory=dict)
     tries: int = 0
+    again: bool = False  # seen to be a client's further try
     paid: int | None = None  # the attempt that took its units from its volume's limit
     done: bool = False
     held: bool = False
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -184,6 +184,8 @@
         pool.max_head_bytes, pool.max_reply_bytes = of.head, of.answer
         pool.idle_timeout_us = int(conf.keepalive * IDLE_KEEPALIVE_FRACTION)
         self.engine.names_most, self.syslog.most = of.names, of.lines
+        if conf.objects is None:  # whose clients have several requests open on one connection
+            self.engine.set_open_limit(of.requests)
         for group in self.groups:
             group.idle_timeout_us = conf.client_idle
             group.memory_limit_bytes, group.max_head_bytes = of.bodies // len(self.groups), of.head
--- a/umberlead/limits.py
+++ b/umberlead/limits.py
@@ -21,6 +21,9 @@
 # names (2), and 1 to spare.
 MORE = 11
 NODES_LEAST = 2  # connections
+# Clients may hold a third of all descriptors, each a connection for an open request: below that some are left
+# for those whose requests are worth more than what waits.
+OPEN_REQUESTS_DIVISOR, OPEN_REQUESTS_LEAST = 4, 8
 LOCAL_RESOURCE_ERRNOS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )  # our own, and it may pass
@@ -37,6 +40,7 @@
     head: int  # bytes of a head
     names: int  # requests' names remembered in a span
     lines: int  # of the log, waiting
+    requests: int  # open at once, waiting or at a chunk server
 
 
 def held() -> tuple[int, int]:
@@ -111,6 +115,7 @@
         head=min(max(spare // 8 // (fronts * clients), HEAD_LEAST), HEAD_MOST),
         names=max(spare // 16 // NAME_BYTES, 1000),
         lines=max(min(spare // 16 // LINE_BYTES, 2000), 50),
+        requests=max(sockets // OPEN_REQUESTS_DIVISOR, OPEN_REQUESTS_LEAST),
     )
 
 
