--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -12,8 +12,8 @@
 STREAM, POOL = "umberlead/net/streaming.py", "umberlead/net/node_pool.py"
 WATCH, FRONT = "umberlead/net/discovery.py", "umberlead/front.py"
 OBJECTS, START = "umberlead/fronts/objects.py", "umberlead/start.py"
-VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/shared.py"
-WATCHING = "umberlead/recovery/watching.py"
+VOLUMES, SHARED = "umberlead/core/volumes.py", "umberlead/handover/registry.py"
+WATCHING, GUARD = "umberlead/recovery/watching.py", "umberlead/core/send_guard.py"
 
 planted.TESTS = (
     "tests/test_client_leaves.py",
@@ -44,13 +44,13 @@
     ("client gone: a dial given up counts against the node", NODE, "result = reason if self.written or reason is Result.MOOT else Result.NO_LINK", "result = reason if self.written else Result.NO_LINK"),
     ("client gone: blocks that were not begun are begun", OBJECTS, "        if call.left:\n", "        if False:\n"),
     ("client gone: a block that waits is sent", OBJECTS, "                self.engine.forsake(ticket)\n", "                pass\n"),
-    ("client gone: not looked for as an attempt is decided", ENGINE, "            or not self.client_waits(ticket)\n", ""),
-    ("client gone: not looked for as its connection is up", NODE, "if not self.pool.client_waits(self.attempt.ticket):", "if False:"),
+    ("client gone: not looked for as an attempt is decided", GUARD, "return None if self._client_waits(request) else Denial.CLIENT_LEFT", "return None"),
+    ("client gone: not looked for as its connection is up", GUARD, "        return self._denied_client(attempt.ticket)\n", "        return None\n"),
     ("client gone: the rest of a request follows in that turn", NODE, "if self.write_paused and not self.written and self.is_open():", "if False:"),
     ("client gone: what was decided with it has no outcome", ENGINE, "for act, ticket in [(act, self._named(act)) for act in acts]:", "for act, ticket in ((act, self._named(act)) for act in acts):"),
     ("client gone: what it stood before waits on", DECIDE, "                self.dirty[item.shard] = None  # what it stood before may go\n", ""),
     ("client gone: a limit is charged for what was not sent", VOLUMES, "self[item.req.volume].limit.give(item.req.units)", "pass"),
-    ("hand-over of news: a draining server gets what was dialled", NODE, "if not self.pool.takes_new(self.attempt.node):", "if False:"),
+    ("hand-over of news: a draining server gets what was dialled", GUARD, "if not self._node_takes_new(attempt.node):", "if False:"),
     ("watches: what a reload leaves is not read", WATCH, "            if stream is not None:\n                stream.read_ahead()\n", "            if False:\n                stream.read_ahead()\n"),
     ("watches: what came is not read before one is silent", WATCH, "            stream.read_ahead()\n            if stream.dead or", "            if stream.dead or"),
     ("retries: a reset with the last bytes is an end", NODE, "if self.reply.framed or self._socket_state().was_reset():", "if self.reply.framed:"),
@@ -85,14 +85,14 @@
     ("uploads: the end that is here as its time is over is not read", SERVER, "if self.has_unread_request() and not self._overtime:", "if False:"),
     ("uploads: one that trickles never ends", SERVER, "if self.has_unread_request() and not self._overtime:", "if self.has_unread_request():"),
     ("hand-over: the old process keeps connections for the new one's clients", FRONT, "clients.close_after_reply = self.processes > 1", "clients.close_after_reply = False"),
-    ("limits: each process has its front's whole part", FRONT, "            self.engine.has_part(part)\n", "            pass\n"),
+    ("limits: each process has its front's whole part", FRONT, "            self.engine.set_process_share(share)\n", "            pass\n"),
     ("limits: a process that stands beside another begins full", VOLUMES, "self.since, self.credit = now + NOTICE, 0.0\n", "self.since = 0\n"),
     ("limits: what is left above a smaller part is kept", "umberlead/core/buckets.py", "most, min(self.have, most)", "most, self.have"),
     ("limits: a front that joins a volume is not made room for", VOLUMES, "            if most < before:", "            if False:"),
     ("limits: fewer fronts hold at once", VOLUMES, "            if now - self.fewer_since < hold:", "            if False:"),
     ("limits: a further attempt is free whatever came of the first", VOLUMES, "        item.paid = None\n", "        pass\n"),
     ("limits: a volume is forgotten before its store is full", VOLUMES, " and not v.limit.wait(now, v.limit.most)", ""),
-    ("limits: a process that can't be seen is gone", SHARED, "        with contextlib.suppress(OSError):\n            names", "        self._beside = []\n        with contextlib.suppress(OSError):\n            names"),
+    ("limits: a process that can't be seen is gone", SHARED, "        with contextlib.suppress(OSError):\n            listed_ns", "        self.others, self._weights = [], []\n        with contextlib.suppress(OSError):\n            listed_ns"),
 )  # fmt: skip
 
 if __name__ == "__main__":
--- a/umberlead/core/interface.py
+++ b/umberlead/core/interface.py
@@ -36,6 +36,15 @@
     MOOT = "moot"  # never went out
 
 
+class Reason(Enum):
+    """Why a request was refused or failed."""
+
+    HOPELESS = "hopeless"  # it would be served late, and take the place of one in time
+    AIM_OVER = "aim_over"  # it waited up to its aim
+    NO_FURTHER_ATTEMPT = "no_further_attempt"  # its class, its count or the budget allows none
+    OVERLOAD = "overload"  # more wait than there are places for their connections
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """One kind of request."""
@@ -196,14 +205,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Part:
-    """Of what its front may send for a volume this process has `part`, above 0, to 1: processes that stand
+class ProcessShare:
+    """Of what its front may send for a volume this process has `share`, above 0, to 1: processes that stand
     beside each other never have more than 1 together. Told at the start, and again with each change."""
 
-    part: float
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLimit:
+    """From now on so many requests may be open at once, 0 for any number."""
+
+    requests: int
 
 
-Event = NodeList | ListFailed | Request | Streaming | Outcome | ClientGone | Probed | Wake | ByHand | Part
+Event = (
+    NodeList
+    | ListFailed
+    | Request
+    | Streaming
+    | Outcome
+    | ClientGone
+    | Probed
+    | Wake
+    | ByHand
+    | ProcessShare
+    | OpenLimit
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +248,7 @@
 
     request: str
     retry_after: int = 0
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +256,7 @@
     """Final: not served, with no promise whether it took effect."""
 
     request: str
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/umberlead/front.py
+++ b/umberlead/front.py
@@ -15,11 +15,12 @@
 from umberlead import config
 from umberlead.core.counters import Counters
 from umberlead.core.engine import Engine
-from umberlead.core.interface import NodeList, NodeState
+from umberlead.core.interface import Node, NodeList, NodeState
 from umberlead.core.wheel import Wheel
 from umberlead.fronts.control import ControlFront
 from umberlead.fronts.platform import PlatformFront
 from umberlead.handover.places import Places
+from umberlead.handover.shared_state import SharedState
 from umberlead.limits import BODY_MOST, MORE, Reserve, deal, granted, held, to_come, with_surplus
 from umberlead.net.client_connections import Clients
 from umberlead.net.discovery import Watch
@@ -27,7 +28,7 @@
 from umberlead.net.node_pool import IDLE_KEEPALIVE_FRACTION, Pool
 from umberlead.net.server_connection import Handler
 from umberlead.plugins import Plugins
-from umberlead.shared import Shared
+from umberlead.recovery.start_times import STEP_US, StartTimes
 from umberlead.telemetry import Syslog, logger
 
 ACCEPTING = 550_000  # us after SIGTERM in which new connections are still taken
@@ -77,7 +78,7 @@
         self.log = logger(conf.name, lambda: self.conf.log_level, self.syslog)
         self.clock = module_clock()
         self.wheel = Wheel(self.clock, lambda delay, fn: loop.call_later(delay / 1e6, fn), conf.tick)
-        trace = self.log.debug if conf.log_level == "debug" else None
+        trace = self.trace = self.log.debug if conf.log_level == "debug" else None
         settings = conf.settings
         if conf.rooms is not None:
             from umberlead.rooms.joined import bounded
@@ -92,9 +93,9 @@
             self.engine, loop, self.wheel, self.clock, self.counters, 0,
             conf.settings.link_timeout or 250_000, conf.keepalive, "service.internal", self.log.info,
         )  # fmt: skip
-        self.engine.carrier = self.pool
-        self.pool.takes_new = self.engine.takes_new
-        self.pool.client_waits = self.engine.client_waits
+        self.engine.carrier, self.engine.trace = self.pool, trace
+        self.pool.may_write = self.engine.guard.may_write
+        self.pool.on_write = self.engine.invariants.written
         self.rooms: Any = None  # what decides by rooms, where the configuration has them
         if conf.rooms is not None:
             from umberlead.rooms.joined import join
@@ -104,11 +105,16 @@
         self.groups: list[Clients] = []
         self.handlers: list[Handler] = []
         self.doors: list[tuple[Listener, Clients]] = []  # the operators'; open to the end
-        self.shared, self.processes = Shared(conf.state), 1
+        self.shared, self.processes = SharedState(conf.state), 1
+        self.anchor_us = self.clock() - time.monotonic_ns() // 1000
+        anchors = self.shared.clock_anchors.read()
+        self.start_times = StartTimes([anchor - self.anchor_us for anchor in anchors])
+        if all(abs(anchor - self.anchor_us) >= STEP_US for anchor in anchors):
+            self.shared.clock_anchors.add(self.anchor_us)
         self.places = Places(
             self.shared, self.pool, self.groups, self.doors, self.servers, self.clock, self.divide
         )  # fmt: skip
-        self.part = 0.0  # of what this front may send for a volume; none was told yet
+        self.process_share = 0.0  # of what this front may send for a volume; none was told yet
         if self.shared.fault:
             self.log.warning("nothing_shared", why=self.shared.fault)
         self.marks: dict[str, int] = {}  # chunk servers out by hand
@@ -118,7 +124,11 @@
         self.done = asyncio.Event()
         self.told_to_stop = self.stopping = False
 
-    def told(self, listing: config.Listing) -> None:
+    def told(self, listing: config.Listing, news: bool = True) -> None:
+        """A list, or a change of it; `news` unless it is what the configuration knew."""
+        listing = self._by_own_clock(listing)
+        if news:
+            self.start_times.listed()
         if self.lists is not None:
             from umberlead.membership.joining import server_of
 
@@ -134,6 +144,26 @@
                 known[endpoint.node.node] = endpoint.address
         self.engine.listed(NodeList(listing.whole, tuple(e.node for e in listing.endpoints)))
 
+    def _by_own_clock(self, listing: config.Listing) -> config.Listing:
+        """The list with chunk servers' starts by this process's clock: the wall clock may step."""
+        self._observe_wall_clock()
+        endpoints = tuple(
+            replace(endpoint, node=replace(endpoint.node, started=self._local_start(endpoint.node)))
+            if endpoint.node.started
+            else endpoint
+            for endpoint in listing.endpoints
+        )
+        return replace(listing, endpoints=endpoints)
+
+    def _local_start(self, node: Node) -> int:
+        return self.start_times.local(node.node, node.started, self.clock())
+
+    def _observe_wall_clock(self) -> None:
+        if self.start_times.observe(self.clock(), time.time_ns() // 1000):
+            self.shared.clock_anchors.add(time.time_ns() // 1000 - time.monotonic_ns() // 1000)
+            self.counters.add("wall_clock_steps")
+            self.log.warning("wall_clock_stepped")
+
     def watch_lists(self, of: config.Lists) -> None:
         """The list in force comes from watched files: what only that needs is loaded only for it."""
         from umberlead.membership.joining import start
@@ -154,6 +184,8 @@
         pool.max_head_bytes, pool.max_reply_bytes = of.head, of.answer
         pool.idle_timeout_us = int(conf.keepalive * IDLE_KEEPALIVE_FRACTION)
         self.engine.names_most, self.syslog.most = of.names, of.lines
+        if conf.objects is None:  # whose clients have several requests open on one connection
+            self.engine.set_open_limit(of.requests)
         for group in self.groups:
             group.idle_timeout_us = conf.client_idle
             group.memory_limit_bytes, group.max_head_bytes = of.bodies // len(self.groups), of.head
@@ -182,34 +214,43 @@
 
     def look(self) -> None:
         """What other processes of this front, and calls at their doors, have changed."""
-        processes, marks = 1 + self.shared.others(), self.shared.marks()
+        processes, marks = 1 + self.shared.others(), self.shared.overrides()
         if processes != self.processes:
             self.log.info("processes", now=processes, before=self.processes)
             self.processes = processes
             self.limit()
-        if (part := self.shared.part()) != self.part:
-            self.part = part
-            self.engine.has_part(part)
+        if (share := self.shared.share()) != self.process_share:
+            self.process_share = share
+            self.engine.set_process_share(share)
         for node in [n for n in marks if n not in self.marks] + [n for n in self.marks if n not in marks]:
             self.log.warning("by_hand", node=node, state="offline" if node in marks else "online")
             by_hand = self.engine.by_hand if self.lists is None else self.lists.mark
-            by_hand(node, node in marks, marks.get(node, 0))
+            by_hand(
+                node, node in marks, self.start_times.local(f"out {node}", marks.get(node, 0), self.clock())
+            )
         self.marks = marks
 
     def mark(self, node: str, out: bool) -> None:
         """An operator's call: it holds once it is answered."""
         with self.reserve.lent():  # what was answered must hold
-            self.shared.mark(node, out)
+            self.shared.override(node, out)
             self.look()
 
     def clients(self) -> Clients:
         made = Clients(0, self.clock, self.counters, self.conf.client_idle, 0, self.log.error)
         made.on_shortage = self.places.short
+        made.on_close = self._client_closed
         self.groups.append(made)
         return made
 
+    def _client_closed(self, owed: bool, reason: str, calls: str) -> None:
+        self.engine.invariants.closed(owed, reason, calls)
+        if self.trace is not None:
+            self.trace("client_closed", reason=reason, calls=calls)
+
     def listen(self, handler: Handler, clients: Clients, address: config.Address) -> None:
-        share = self.shared.root is not None
+        self.engine.invariants.listening(clients.max_connections > 0 and self.pool.max_connections > 0)
+        share = self.conf.state is not None  # also where that can't be written now: another may stand there
         listener = Listener(handler, clients, address, self.loop, share)
         self.servers.append(listener)
         self.log.info("listening", address=":".join(map(str, listener.address)))
@@ -224,7 +265,7 @@
             self.loop.call_soon(self.reload)
         if conf.lists is not None:
             self.watch_lists(conf.lists)
-        self.told(conf.known)
+        self.told(conf.known, news=False)
         if conf.discovery is not None:
             self.watch = Watch(
                 conf.discovery, conf.known, self.loop, self.wheel, self.clock, self.counters,
@@ -306,6 +347,7 @@
         self.log.info("peers", address=self.peers[0].gossip.address)
 
     def sweep(self) -> None:
+        self._observe_wall_clock()
         self.look()
         if self.rooms is not None:
             self.rooms.tick()
