Force the crossings found by reading, and keep long lists cheap for the run-time checks

Two costs of this work on long lists, found by reading before they showed: the checks looked through all nodes for each one that is gone (a list of 20,000 replaced at once: 400 million looks), now once in 60 s; and past 20,000 starts all were forgotten, so a list told again would have made every server cold; now the oldest goes.

--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,205 @@
+"""Bytes that wait with the system as a reply ends or reading goes on, forced on real sockets.
+
+The client is a blocking socket of the same thread: what it has sent is with the system, and the loop has
+not run meanwhile.
+"""
+
+import asyncio
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+import pytest
+import uvloop
+
+from umberlead.core.counters import Counters
+from umberlead.net.client_connections import Clients
+from umberlead.net.close_reason import CloseReason
+from umberlead.net.http_message import Message
+from umberlead.net.listener import Listener
+from umberlead.net.server_connection import ServerConnection
+from umberlead.net.socket_state import SocketState
+
+MEMORY = 1 << 20
+PATIENCE_SECONDS = 5.0
+
+
+class Handler:
+    max_body_bytes = 1 << 16
+    sends_date = False
+    singleton_headers = frozenset[bytes]()
+    retry_after = 0
+    allows_slow_bodies = False
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[ServerConnection, Message]] = []
+
+    def request(self, conn: ServerConnection, message: Message) -> None:
+        self.requests.append((conn, message))
+
+    def client_disconnected(self, conn: ServerConnection) -> None:
+        pass
+
+    def reject(self, conn: ServerConnection, status: int, reason: str) -> None:
+        conn.reply(status, (), reason.encode())
+
+
+class Setting:
+    """A listener, and a client's connection to it; `now` is the front's clock."""
+
+    def __init__(self) -> None:
+        self.now, self.handler, self.ends = 1_000_000, Handler(), list[tuple[bool, str, str]]()
+        self.clients = Clients(100, lambda: self.now, Counters(), 0, MEMORY, print)
+        self.clients.on_close = lambda *told: self.ends.append(told)
+        self.listener = Listener(self.handler, self.clients, ("127.0.0.1", 0), asyncio.get_running_loop())
+        self.client = socket.create_connection(self.listener.address)
+        self.client.settimeout(PATIENCE_SECONDS)
+
+    async def until(self, holds: Callable[[], Any]) -> None:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while not holds():
+                await asyncio.sleep(0)
+
+    async def requested(self, count: int) -> ServerConnection:
+        await self.until(lambda: len(self.handler.requests) >= count)
+        return self.handler.requests[count - 1][0]
+
+    async def read(self, end: bytes) -> bytes:
+        got = b""
+        self.client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while not got.endswith(end):
+                piece = await loop.sock_recv(self.client, 1 << 16)
+                assert piece, got
+                got += piece
+        return got
+
+    def close(self) -> None:
+        self.client.close()
+        self.listener.close()
+
+
+def play(steps: Callable[[Setting], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        setting = Setting()
+        try:
+            await steps(setting)
+        finally:
+            setting.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(whole())
+
+
+def get(name: str, more: str = "") -> bytes:
+    return f"GET /{name} HTTP/1.1\r\n{more}\r\n".encode()
+
+
+def test_a_request_that_crosses_the_end_of_a_long_reply_is_served_though_the_front_drains() -> None:
+    """The reply had not said that its connection ends: the request was read, and dropped."""
+
+    async def steps(setting: Setting) -> None:
+        setting.client.sendall(get("long"))
+        conn = await setting.requested(1)
+        source = mock.Mock()
+        conn.relay(200, 6, b"abc", source, lambda whole: None)
+        setting.clients.drain()
+        setting.client.sendall(get("next"))
+        source.sink.write(b"def")
+        source.sink.finish()
+        again = await setting.requested(2)
+        assert again is conn
+        conn.reply(200, (), b"x")
+        got = await setting.read(b"\r\n\r\nx")
+        assert b"abcdef" in got and got.count(b"Connection: close") == 1
+        assert setting.ends == [(False, CloseReason.ANNOUNCED.value, "")]
+
+    play(steps)
+
+
+def test_a_long_reply_that_ends_as_the_front_drains_closes_its_idle_connection_unread() -> None:
+    async def steps(setting: Setting) -> None:
+        setting.client.sendall(get("long"))
+        conn = await setting.requested(1)
+        source = mock.Mock()
+        conn.relay(200, 6, b"abc", source, lambda whole: None)
+        setting.clients.drain()
+        source.sink.write(b"def")
+        source.sink.finish()
+        assert setting.ends == [(False, CloseReason.DRAIN.value, "")] and not conn.transport.is_reading()
+        await setting.read(b"abcdef")
+
+    play(steps)
+
+
+def test_a_reply_does_not_end_its_connection_while_a_request_on_it_is_unread() -> None:
+    async def steps(setting: Setting) -> None:
+        setting.client.sendall(get("a"))
+        conn = await setting.requested(1)
+        setting.clients.close_after_reply = True
+        setting.client.sendall(get("b"))
+        conn.reply(200, (), b"x")
+        await setting.requested(2)
+        conn.reply(200, (), b"y")
+        got = await setting.read(b"\r\n\r\ny")
+        assert got.count(b"HTTP/1.1 200 OK") == 2 and got.count(b"Connection: close") == 1
+
+    play(steps)
+
+
+def test_the_time_of_what_waited_while_nothing_was_read_runs_from_the_pause() -> None:
+    """It was given the time that it had waited once more, and its server was told of it."""
+
+    async def steps(setting: Setting) -> None:
+        setting.clients.max_head_bytes = 500
+        setting.client.sendall(get("a"))
+        conn = await setting.requested(1)
+        setting.client.sendall(get("b"))
+        await setting.until(lambda: conn.pipelined)
+        setting.now += 100
+        setting.client.sendall(get("c", f"X-Long: {'x' * 400}\r\n") + get("d", f"X-Long: {'x' * 400}\r\n"))
+        await setting.until(conn.reading_paused)
+        paused_us = setting.now
+        setting.now += 2_000_000
+        setting.client.sendall(get("e"))
+        for number in range(2, 6):
+            conn.reply(200, (), b"x")
+            await setting.requested(number)
+        times = [message.received for _, message in setting.handler.requests]
+        assert times == [paused_us - 100, paused_us - 100, paused_us, paused_us, paused_us]
+        setting.now += 1_000_000
+        conn.reply(200, (), b"x")
+        setting.client.sendall(get("f"))
+        await setting.requested(6)
+        assert setting.handler.requests[5][1].received == setting.now
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    ("fault", "broken"),
+    [
+        (OSError(errno.ECONNRESET, ""), True),
+        (OSError(errno.ETIMEDOUT, ""), True),
+        (OSError(errno.EHOSTUNREACH, ""), True),
+        (BlockingIOError(errno.EAGAIN, ""), False),
+        (None, False),
+    ],
+)
+def test_a_broken_connection_is_no_end_whatever_the_system_calls_the_break(
+    fault: OSError | None, broken: bool
+) -> None:
+    """Only a reset was one: an answer of no told length that broke off otherwise counted as whole."""
+    sock = mock.Mock(recv=mock.Mock(side_effect=fault, return_value=b""))
+
+    @contextmanager
+    def duplicate() -> Any:
+        yield sock
+
+    state = SocketState(mock.Mock())
+    with mock.patch.object(state, "_duplicate", duplicate):
+        assert state.was_reset() is broken
--- a/umberlead/core/invariants.py
+++ b/umberlead/core/invariants.py
@@ -79,6 +79,7 @@
         self._effects = {c.name: c.effect for c in settings.classes}
         self._nodes: dict[str, _NodeRecord] = {}
         self._requests: dict[str, _RequestRecord] = {}
+        self._forget_at = 0
         self._logged = 0
 
     def check(self, holds: bool, invariant: Invariant, **details: Any) -> None:
@@ -102,13 +103,11 @@
             if node.started != record.started:
                 record.started, record.sent_units = node.started, 0.0
                 record.sent.clear()
-            if node.state is NodeState.GONE:
-                self._forget_later(node.node)
         if news.whole:
             for name in self._nodes.keys() - named:
                 record = self._nodes[name]
                 record.out_since = self._since(record.out_since, True)
-                self._forget_later(name)
+        self._forget_gone()
 
     def taken_out(self, node: str, out: bool) -> None:
         """Take note that an operator took a node out, or put it back."""
@@ -121,13 +120,16 @@
             return None
         return self._clock() if before is None else before
 
-    def _forget_later(self, node: str) -> None:
-        """Forget nodes long gone: where all are replaced again and again they add up."""
-        oldest = self._clock() - NODE_MEMORY_US
+    def _forget_gone(self) -> None:
+        """Forget nodes long gone, once in a while: where all are replaced again and again they add up."""
+        now = self._clock()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + NODE_MEMORY_US
+        oldest = now - NODE_MEMORY_US
         gone = [n for n, r in self._nodes.items() if r.out_since is not None and r.out_since < oldest]
         for name in gone:
-            if name != node:
-                del self._nodes[name]
+            del self._nodes[name]
 
     # Attempts
 
--- a/umberlead/recovery/start_times.py
+++ b/umberlead/recovery/start_times.py
@@ -12,7 +12,7 @@
 STEP_US = 250_000  # by which two looks at the wall clock must differ for a step; less is its slewing
 MAX_STEPS = 16  # that are remembered, the oldest given up first
 LATEST_NEWS_US = 60_000_000  # lists are not further behind: a start that is news is no older than that
-MAX_KNOWN = 20_000  # starts that are remembered
+MAX_KNOWN = 50_000  # starts that are remembered
 
 
 class StartTimes:
@@ -49,11 +49,13 @@
         if told_us <= 0:
             return 0
         key = name, told_us
-        if key not in self._known:
-            if len(self._known) >= MAX_KNOWN:
-                self._known.clear()
-            self._known[key] = self._youngest(told_us, now_us)
-        return self._known[key]
+        at_us = self._known.pop(key, None)
+        if at_us is None:
+            at_us = self._youngest(told_us, now_us)
+        self._known[key] = at_us  # the latest told last
+        if len(self._known) > MAX_KNOWN:
+            del self._known[next(iter(self._known))]
+        return at_us
 
     def _youngest(self, told_us: int, now_us: int) -> int:
         possible = [told_us - ahead_us for ahead_us in self._ahead_us]
