Name what the soak's rate of requests is counted by

Need: a bare RATE said neither what nor whose. Change: CLIENT_PROCESS_RATE, in the soak alone; the front is untouched.

--- a/umberlead/standins/soak/run.py
+++ b/umberlead/standins/soak/run.py
@@ -19,6 +19,7 @@
 from umberlead.standins.soak.plan import Interval, Size, Trouble, draw
 from umberlead.standins.soak.records import ClientRecord, Event, NodeRecord, Writer, read
 from umberlead.standins.soak.scenario import (
+    CLIENT_PROCESS_RATE,
     DESCRIPTORS,
     END_SECONDS,
     FRONT_HOST,
@@ -31,7 +32,6 @@
     OTHER_MANAGEMENT_PORT,
     PORT,
     PROXY_HOST,
-    RATE,
     READY_SECONDS,
     limits,
     settings,
@@ -261,7 +261,14 @@
         made = []
         for number in range(self.size.clients):
             path = self.folder / f"client-{number}.jsonl"
-            words = [self.seed * 100 + number, self.seconds, RATE, self.size.nodes, path, *fronts]
+            words = [
+                self.seed * 100 + number,
+                self.seconds,
+                CLIENT_PROCESS_RATE,
+                self.size.nodes,
+                path,
+                *fronts,
+            ]
             call = [sys.executable, "-B", "-m", f"{fleet.MODULE}.client", *map(str, words)]
             made.append(await asyncio.create_subprocess_exec(*call))
         return made
--- a/umberlead/standins/soak/scenario.py
+++ b/umberlead/standins/soak/scenario.py
@@ -8,7 +8,7 @@
 
 PORT, MANAGEMENT_PORT, OTHER_MANAGEMENT_PORT, LISTS_PORT, OTHER_LISTS_PORT = 8000, 8001, 8002, 8003, 8004
 FRONT_HOST, NODE_HOST, PROXY_HOST = 10, 50, 120  # last part of the addresses of the first of each
-RATE = 70.0  # requests a second of each process of clients
+CLIENT_PROCESS_RATE = 70.0  # requests a second of each process of clients
 DEADLINE_SECONDS, GRACE_SECONDS = (
     2.5,
     0.7,
