Let the event loop sleep until a timer's tick: alarms came early and were set again

Callers saw nothing but a front that took CPU for nothing.

Cause: ProcessComponents._call_later gives what is left to loop.call_later in seconds. uvloop counts whole milliseconds from the beginning of the present one, so an alarm came up to 1 ms early; below 0.5 ms it rounds to 0 and calls back in the next turn without sleep, until the tick. Ruled out: a request that is looked at again and again (no decision stands in the samples), clients' or servers' connections (the process had 8 descriptors).

Change: common/loop_alarm.py sets an alarm for the first millisecond that begins at or after its time.

Four of four cases of tests/test_loop_alarm.py fail with the old line in place.

--- a/umberlead/daemon/assembly.py
+++ b/umberlead/daemon/assembly.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from umberlead import configuration
 from umberlead.common.counters import Counters
+from umberlead.common.loop_alarm import call_after_us
 from umberlead.common.timer_wheel import TimerWheel
 from umberlead.handover.shared_state import SharedState
 from umberlead.net.client_connections import ClientGroup
@@ -74,7 +76,7 @@
         self.log = make_logger(conf.name, lambda: self.config.log_level, self.syslog)
         self.trace = self.log.debug if conf.log_level == "debug" else None
         self.clock = unix_anchored_clock()
-        self.wheel = TimerWheel(self.clock, self._call_later, conf.tick_us)
+        self.wheel = TimerWheel(self.clock, partial(call_after_us, loop), conf.tick_us)
         self.lifecycle = self._new_lifecycle()
         self.pool = self._new_pool()
         self.zones = self._new_zones()
@@ -92,9 +94,6 @@
         self.gossip: GossipService | None = None
         self.done = asyncio.Event()
 
-    def _call_later(self, delay_us: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
-        return self.loop.call_later(delay_us / 1e6, callback)
-
     def _new_lifecycle(self) -> RequestLifecycle:
         conf = self.config
         settings = conf.settings
