Look again at what waits for a warming server no later than it is warm

Callers saw: a request to a warming server of a large fleet was rejected at its objective, though its server had been warm for seconds, where no other request came for that server meanwhile.

Cause: EndpointState.ready_at_us gave the time of the paced turn as if slow start had no end; the scheduler looks again only then. Change: it gives the end of the warm-up where that is earlier. Pacing and the window stay as they are until then, so what all fronts send a cold server is unchanged.

Evidence: test_slow_start.py, outlasts_the_warm_up, fails with the old line (nothing sent in 6 s) and passes now: sent at the very end of the warm-up.

--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,10 +1,11 @@
 """The most that one head sends a warming server in a window, served or not, and what all heads do by it."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
-from tests.helpers import T0, ask, end, feed, head, sends, settings, up
+from tests.helpers import READ, T0, ask, end, feed, head, sends, settings, up
 from umberlead.scheduling.events import AttemptResult, Endpoint, EndpointStatus
 from umberlead.scheduling.settings import Settings
 from umberlead.scheduling.slow_start import (
@@ -108,3 +109,14 @@
     """`extra.coldUnits` may be as small as a float can be; a share of it rounds to nothing."""
     tiny = settings(slow_start_units=5e-324, **COLD)
     assert pacing_delay_us(tiny, _node(), START, 1.0, 0.1) > 0
+
+
+def test_a_request_that_outlasts_the_warm_up_is_sent_as_the_endpoint_is_warm() -> None:
+    """It waited for its paced turn, of many seconds later, and was rejected at its objective."""
+    now, warm_at = START, START + 1_000_000
+    class_ = replace(READ, latency_objective_us=5_000_000, timeout_us=5_000_000)
+    cold = {**COLD, "slow_start_units": 1.0, "front_count": 200}
+    made = head(now, up("n0", started=warm_at - WARM_UP_US), classes=(class_,), **cold)
+    assert not sends(feed(made, now, ask("r", now, deadline_us=now + 5_000_000)))
+    sent = [at for at in range(now + 100_000, now + 6_000_000, 100_000) if sends(feed(made, at))]
+    assert sent == [warm_at]
--- a/umberlead/scheduling/endpoint_state.py
+++ b/umberlead/scheduling/endpoint_state.py
@@ -142,7 +142,12 @@
         share = self.traffic_share(self.endpoint.shard)
         max_units = max_window_units(self.settings, self.endpoint, now_us, share)
         window_free_us = self.send_window.free_at(now_us, units, max_units)
-        return max(self.ejected_until_us, self.paced_until_us + first_delay_us, window_free_us)
+        slow_start_ready_us = max(self.paced_until_us + first_delay_us, window_free_us)
+        return max(self.ejected_until_us, min(slow_start_ready_us, self.warm_at_us()))
+
+    def warm_at_us(self) -> int:
+        """Return when the endpoint has all of its capacity, and nothing is paced any more."""
+        return self.endpoint.started_us + self.settings.warm_up_us
 
     def _is_full(self, units: float) -> bool:
         """Tell whether `units` more are over the limit; a single request is never too large."""
