--- a/umberlead/scheduling/slow_start.py
+++ b/umberlead/scheduling/slow_start.py
@@ -11,6 +11,7 @@
 
 from umberlead.scheduling.events import Endpoint
 from umberlead.scheduling.settings import Settings
+from umberlead.scheduling.token_bucket import MAX_WAIT_US
 
 SERVED_IN_TIME_RATIO = 0.6  # of what a cold endpoint always bears, what it also serves in time
 MIN_INITIAL_CAPACITY_RATIO = 0.02  # stands in for a smaller one in the settings
@@ -49,7 +50,10 @@
         return 0.0
     growth_factor = capacity_growth_factor(settings, endpoint, now_us)
     window_units = SERVED_IN_TIME_RATIO * settings.slow_start_units * growth_factor * front_share
-    return units * settings.slow_start_window_us / window_units
+    demanded_us = units * settings.slow_start_window_us
+    if window_units * MAX_WAIT_US < demanded_us:  # the share of a tiny capacity may round to 0
+        return MAX_WAIT_US
+    return demanded_us / window_units if demanded_us else 0.0
 
 
 def max_window_units(settings: Settings, endpoint: Endpoint, now_us: int, front_share: float) -> float:
