--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -326,14 +326,21 @@
     # Clients
 
     def ask(self, class_name: str, plan: str, shard: int, leaves: bool) -> None:
-        name = b"r%d" % len(self.asked)
         cls = self.engine.classes[class_name]
         budget = self.chance.choice((*[cls.timeout_us] * 6, cls.timeout_us // 3 + 1, 16_000)) / SECOND
         most = max(self.s.max_request_units, 1)
         units = self.chance.choice((most, *[min(most, self.s.mean_request_units)] * 3)) * self.chance.uniform(
             0.1, 1
         )
-        io = f"volume={[p.name for p in self.s.plans].index(plan):x},units={units:.4f}"
+        self.ask_for(class_name, plan, shard, leaves, budget, f"{units:.4f}")
+
+    def ask_for(
+        self, class_name: str, plan: str, shard: int, leaves: bool, budget: float, units: str
+    ) -> None:
+        """Ask with that budget in seconds, and the size as it is written."""
+        name = b"r%d" % len(self.asked)
+        cls = self.engine.classes[class_name]
+        io = f"volume={[p.name for p in self.s.plans].index(plan):x},units={units}"
         headers = {
             b"x-call-id": name,
             b"x-plan": plan.encode(),
--- /dev/null
+++ b/tests/test_settings_extremes.py
@@ -0,0 +1,273 @@
+"""Every numeric setting at its least and greatest accepted value, alone and with each other one.
+
+A value is refused with an error that names its key, or a second of requests is served under it: without an
+exception, without a figure that is no number or infinite, and without a timer for what waits beyond its time.
+"""
+
+import dataclasses
+import itertools
+import math
+import re
+from collections import deque
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from tests.test_settings import FIGURES, MARGIN, SECOND, Day, load, put
+from umberlead import configuration
+from umberlead.frontends.platform import PlatformFrontend
+from umberlead.scheduling.actions import Action, Reject, SetTimer
+from umberlead.scheduling.events import Endpoint, EndpointStatus
+from umberlead.scheduling.settings import Settings
+
+SMALLEST = 5e-324  # a float above 0 can't be smaller
+CANDIDATES = (0, SMALLEST, 1e-9, 1, 1000, 1e18, 1 << 62)
+LONGEST_BUDGET_US = 500_000
+MOST_UNITS = 999_999.0  # that the header field has digits for
+LEAST_UNITS = 1e-9
+PLAYED_US = SECOND
+# A plan without a limit has a bucket that never empties.
+UNBOUNDED_FIELDS = ("limit.capacity_units", "limit.available_units")
+
+
+def base() -> dict[str, Any]:
+    """A configuration under which requests are served: two classes, a plan with a limit and one without."""
+    return {
+        "listen": "127.0.0.1:8080",
+        "discovery": "127.0.0.1:8500",
+        "settings": {
+            "instances": 4,
+            "tick": 2000,
+            "bounds": {
+                "maxAttempts": 3,
+                "dialTimeout": 250_000,
+                "keepalive": 15 * SECOND,
+                "retryAfter": True,
+                "maxRetryAfter": 500_000,
+                "cancel": True,
+            },
+            "extra": {
+                "meanUnits": 1.5,
+                "maxUnits": 8,
+                "nShards": 3,
+                "fairWorth": 0.5,
+                "idleWorth": 0.2,
+                "coldUnits": 24,
+            },
+            "guarantees": {
+                "graceToAnswer": 50_000,
+                "coldShare": 0.2,
+                "fallMultiple": 4,
+                "overloadFor": 200_000,
+                "warmUp": 8 * SECOND,
+                "orderPause": 100_000,
+                "resendSpan": 2 * SECOND,
+                "freeResends": 5,
+                "resendRatio": 0.2,
+            },
+            "grades": [
+                {
+                    "name": "fetch",
+                    "aim": 400_000,
+                    "hardLimit": 500_000,
+                    "effect": "idempotent",
+                    "memorySpan": SECOND,
+                    "credit": 2,
+                    "lateWorth": 0.5,
+                },
+                {
+                    "name": "store",
+                    "aim": 400_000,
+                    "hardLimit": 500_000,
+                    "effect": "deduplicated",
+                    "group": "all",
+                    "sequential": True,
+                    "memorySpan": SECOND,
+                },
+            ],
+            "plans": [
+                {"name": "gold", "weight": 2, "usualRate": 10, "reservation": 5, "valueFactor": 2},
+                {
+                    "name": "basic",
+                    "weight": 1,
+                    "usualRate": 10,
+                    "neverOver": 40,
+                    "mostAtOnce": 60,
+                    "capSlack": 60,
+                },
+            ],
+        },
+    }
+
+
+PATHS = [
+    path.replace("grades.*", "grades.0").replace("plans.*", "plans.1")
+    for path in FIGURES
+    if path.startswith("settings.")
+]
+
+
+def configured(values: dict[str, Any]) -> dict[str, Any]:
+    conf = base()
+    for path, value in values.items():
+        put(conf, [int(part) if part.isdigit() else part for part in path.split(".")], value)
+    return conf
+
+
+def refused_key(values: dict[str, Any]) -> str | None:
+    """The key that the error names; None where the values are accepted."""
+    try:
+        load(configured(values))
+    except configuration.ConfigError as error:
+        return error.key
+    return None
+
+
+def extremes(path: str) -> list[Any]:
+    """The least and the greatest accepted value, and the smallest above 0."""
+    accepted = [value for value in CANDIDATES if refused_key({path: value}) is None]
+    smallest = next(value for value in accepted if value)
+    return list(dict.fromkeys((accepted[0], smallest, accepted[-1])))
+
+
+class Second(Day):
+    """One second under a configuration, watched for figures that are none."""
+
+    def __init__(self, made: configuration.Config) -> None:
+        super().__init__(made, seed=1)
+        self.engine.decision_loop.action_observer = self.check_actions
+
+    def check_actions(self, now_us: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SetTimer):
+                assert isinstance(action.delay_us, int) and action.delay_us > 0, action
+            if isinstance(action, Reject):
+                assert isinstance(action.retry_after_us, int), action
+
+    def play(self) -> None:
+        now = self.loop.now
+        self.told(
+            Endpoint("warm", EndpointStatus.UP, 0),
+            Endpoint("also warm", EndpointStatus.UP, 1),
+            Endpoint("cold", EndpointStatus.UP, 2, now - 100_000),
+            Endpoint("ahead", EndpointStatus.UP, 2, now + 50_000),
+            whole=True,
+        )
+        kinds = itertools.product(self.s.classes, self.s.plans, (0, 1, -1, 2))
+        for number, (cls, plan, shard) in enumerate(itertools.islice(kinds, 16)):
+            self.loop.at(
+                now + number * 20_000,
+                lambda cls=cls, plan=plan, shard=shard, number=number: self.ask_one(  # type: ignore[misc]
+                    cls.name, plan.name, shard, number
+                ),
+            )
+        self.loop.run(now + PLAYED_US)
+        assert not self.faults, self.faults[0]
+        assert self.engine.counters["module_errors"] == 0
+        assert self.engine.counters["answered_for_module"] == 0
+        assert len(self.answers) == len(self.asked)
+        wrong = [*unusable_figures(self.engine.scheduler, "")]
+        assert not wrong, wrong[:5]
+        scheduler = self.engine.scheduler
+        looks = (scheduler._request_dispatch, scheduler._tag_volume)
+        last_look_us = self.loop.now + LONGEST_BUDGET_US
+        far = [row[0] for row in scheduler._timers if row[0] > last_look_us and row[2] in looks]
+        assert not far, f"a look at what waits lies behind the time of all that waits: {far[:3]}"
+
+    def ask_one(self, class_name: str, plan: str, shard: int, number: int) -> None:
+        timeout_us = self.engine.classes[class_name].timeout_us
+        most = min(max(self.s.max_request_units, 1), MOST_UNITS)
+        mean = max(self.s.mean_request_units, LEAST_UNITS)
+        units = min((2.0, MOST_UNITS if number > 8 else 8.0, mean, LEAST_UNITS)[number % 4], most)
+        budget = min(timeout_us, LONGEST_BUDGET_US) / SECOND
+        self.ask_for(class_name, plan, shard, False, budget, f"{units:.9f}")
+
+
+def unusable_figures(value: Any, path: str, seen: set[int] | None = None) -> Iterator[str]:
+    """Paths below `value` to floats that are no number, or infinite without meaning "no limit"."""
+    seen = set() if seen is None else seen
+    if isinstance(value, float):
+        if not math.isfinite(value) and not path.endswith(UNBOUNDED_FIELDS):
+            yield f"{path} = {value}"
+        return
+    if value is None or isinstance(value, str | bytes | int | Settings) or id(value) in seen:
+        return
+    seen.add(id(value))
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from unusable_figures(inner, f"{path}.{key}", seen)
+    elif isinstance(value, list | tuple | deque):
+        for number, inner in enumerate(value):
+            yield from unusable_figures(inner, f"{path}.{number}", seen)
+    if type(value).__module__.startswith("umberlead."):
+        for name in attributes_of(value):
+            yield from unusable_figures(getattr(value, name, None), f"{path}.{name}", seen)
+
+
+def attributes_of(value: Any) -> Iterator[str]:
+    yield from getattr(value, "__dict__", ())
+    if dataclasses.is_dataclass(value):
+        yield from (field.name for field in dataclasses.fields(value))
+    for cls in type(value).__mro__:
+        slots = getattr(cls, "__slots__", ())
+        yield from (slots,) if isinstance(slots, str) else slots
+
+
+def serve(values: dict[str, Any]) -> None:
+    Second(load(configured(values))).play()
+
+
+def failures(cases: Iterator[dict[str, Any]]) -> list[str]:
+    found = []
+    for values in cases:
+        try:
+            serve(values)
+        except Exception as fault:  # noqa: BLE001 (whatever it is, it is named with its values)
+            found.append(f"{values}: {type(fault).__name__}: {str(fault)[:300]}")
+    return found
+
+
+def test_a_usual_configuration_sends_half_of_the_second_s_requests_at_least() -> None:
+    second = Second(load(base()))
+    second.play()
+    assert sum(len(tries) > 0 for tries in second.tries.values()) >= len(second.asked) / 2
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_value_that_is_not_accepted_is_refused_by_its_key(path: str) -> None:
+    refused = [refused_key({path: value}) for value in CANDIDATES]
+    assert {key for key in refused if key is not None} <= {path}
+    assert None in refused
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_an_extreme_setting_is_served_alone(path: str) -> None:
+    assert not failures({path: value} for value in extremes(path))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_an_extreme_setting_is_served_beside_each_other_extreme(path: str) -> None:
+    others = PATHS[PATHS.index(path) + 1 :]
+    found = failures(
+        {path: value, other: extreme}
+        for value in extremes(path)
+        for other in others
+        for extreme in extremes(other)
+    )
+    assert not found, f"{len(found)}: " + "\n".join(found[:10])
+
+
+@pytest.mark.parametrize("max_retry_after", extremes("settings.bounds.maxRetryAfter"))
+def test_a_rejection_s_retry_after_is_a_decimal_figure(max_retry_after: float) -> None:
+    """From a million seconds on it was written with an exponent, which no client reads."""
+    made = load(configured({"settings.bounds.maxRetryAfter": max_retry_after}))
+    day = Second(made)
+    frontend = PlatformFrontend(day.engine, made.retry_after_us, MARGIN)
+    conn = mock.Mock()
+    for retry_after_us in (0, made.settings.max_retry_after_us, 1, 999, 1_234_567_890):
+        frontend.reply_rejected(conn, retry_after_us, "busy")
+        status, headers, _ = conn.send_response.call_args.args
+        assert status == 503
+        assert [re.fullmatch(rb"Retry-After: [0-9]+(\.[0-9]{1,3})?", header) for header in headers] != [None]
