Write Retry-After in decimal digits whatever the settings allow

Callers saw: with bounds.maxRetryAfter from a million seconds on, rejections said Retry-After: 1e+06, which is no number of seconds in HTTP, and from 1,000 s on lost digits. Change: digits to the millisecond, as before for usual values.

--- a/umberlead/frontends/platform.py
+++ b/umberlead/frontends/platform.py
@@ -182,6 +182,11 @@
     return OutgoingRequest(request.method, request.target, forwarded, request.body)
 
 
+def format_seconds(seconds: float) -> bytes:
+    """Return seconds as decimal digits, to the millisecond, without an exponent or trailing zeros."""
+    return f"{seconds:.3f}".rstrip("0").rstrip(".").encode()
+
+
 class PlatformFrontend:
     """Serves the platform's listener; see `umberlead.net.server_connection.RequestHandler`.
 
@@ -266,7 +271,7 @@
         """
         seconds = math.ceil((retry_after_us or self.retry_after_us) / 1000) / 1000
         body = f"refused: {reason or 'try later'}\n".encode()
-        conn.send_response(503, (b"Retry-After: %g" % seconds,), body)
+        conn.send_response(503, (b"Retry-After: " + format_seconds(seconds),), body)
 
     def client_disconnected(self, conn: ServerConnection) -> None:
         """Tell the lifecycle that a client left before the end of its answer."""
