Soak with SIGKILL at the earliest, signals in series, a crowd, leavers and a fleet

The soak gave a front 0.5 s more than the platform's earliest SIGKILL, sent each signal once and had no crowd.

Change: SIGKILL comes at the longest deadline (3 s at most) + 0.7 s after SIGTERM, by a deadline that the seed draws; a front that stands then is a violation, and what the kill cuts off is lost. Clients use open connections until the kill, some of them without a pause. Six troubles send signals in series: SIGTERM three times, SIGHUP in bursts and round SIGTERM, a SIGTERM before the process is ready, one to both processes of a hand-over, a hand-over within a hand-over; gaps are drawn from 0 to 50 ms. A crowd of 140 idle clients fills a front of 256 descriptors, every other time while its agent is silent. Five mixes in turn (all, signals, crowd, leavers, a fleet of 24 fronts). The driver's own lateness is measured; a run in which it passed what the judge allows counts as not run. Results go to a file that a broken-off run goes on from.

Not done: planting each guard off, to show that the judge counts it.

--- a/Makefile
+++ b/Makefile
@@ -117,7 +117,8 @@
 	$(DEV)/bin/python -B -m benchmarks.leaving --keep
 
 # Real processes under overlapping troubles, judged by invariants; half a minute a run. SOAK="--seed 3 --runs 10 --seconds 60
-# --trouble clock_step --keep FOLDER --verbose": seed, length, troubles, records.
+# --trouble clock_step --keep FOLDER --verbose": seed, length, troubles, records. SOAK="--seed 101 --runs 50 --seconds 12
+# --results FILE": a long run, which goes on where it was broken off; `python -m umberlead.testing.soak.results FILE` makes a table.
 SOAK ?= --verbose
 soak: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m umberlead.testing.soak $(SOAK)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,16 +1,24 @@
 """The soak test: its judge and its plan, and one short run of fixed seed."""
 
+from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
-from umberlead.testing.soak.judge import Evidence, Limits, judge
+import pytest
+
+from umberlead.testing.soak.judge import Evidence, Limits, Violation, judge
+from umberlead.testing.soak.mix import DEADLINES_SECONDS, mix_of
 from umberlead.testing.soak.plan import FRONT_ENDS, FRONT_ENDS_SECONDS, Size, Trouble, draw
 from umberlead.testing.soak.records import ClientRecord, Event, NodeRecord, Writer, read
+from umberlead.testing.soak.results import add_result, played_seeds, read_results, table
 from umberlead.testing.soak.run import play
+from umberlead.testing.soak.scenario import kill_delay_seconds
+from umberlead.testing.soak.verdict import Verdict
 
 SECOND = 1_000_000_000
 LIMITS = Limits(frozenset(("store",)), 3, 10.0, 0.2, 2 * SECOND, 8 * SECOND, 1.0)
-CI_SEED, CI_SECONDS = 11, 14.0
+CI_SEEDS, CI_SECONDS = (10, 11, 12, 13, 14), 14.0
 
 
 def client(id_: str = "a", **changed: Any) -> ClientRecord:
@@ -132,8 +140,48 @@
     assert list(read(path, Event)) == [event]
 
 
-def test_a_short_run_of_a_fixed_seed_keeps_all_rules(tmp_path: Path) -> None:
-    verdict = play(tmp_path, CI_SEED, CI_SECONDS, Size(4, 6, 4), list(Trouble))
+def test_five_seeds_in_a_row_play_five_mixes_and_every_trouble_is_drawn() -> None:
+    mixes = [mix_of(seed, Size(), tuple(Trouble)) for seed in CI_SEEDS]
+    assert [mix.name for mix in mixes] == ["all", "signals", "crowd", "leavers", "fleet"]
+    assert mixes[4].size.fronts >= 24
+    deadlines = {mix_of(seed, Size(), tuple(Trouble)).deadline_seconds for seed in range(40)}
+    assert deadlines == set(DEADLINES_SECONDS)
+    only = mix_of(1, Size(), (Trouble.NODE_KILL,))
+    assert set(only.troubles) == {Trouble.NODE_KILL}
+
+
+def test_sigkill_comes_as_early_as_the_page_allows() -> None:
+    """The longest deadline, counted as 3 s where it is longer, and 0.7 s."""
+    assert [kill_delay_seconds(deadline) for deadline in (0.8, 3.0, 4.0)] == [1.5, 3.7, 3.7]
+
+
+def test_a_new_connection_that_a_crowd_shut_unread_is_not_lost() -> None:
+    crowd = Event(10 * SECOND, "crowd", "f0", 1.0)
+    row = client(end="reset", connected=int(10.5 * SECOND))
+    assert rules(clients=[row], events=[crowd]) == []
+    assert rules(clients=[row], nodes=[node()], events=[crowd]) == ["lost"]  # it was read, and forwarded
+    assert rules(clients=[client(end="reset", connected=12 * SECOND)], events=[crowd]) == ["lost"]
+
+
+def test_results_are_kept_in_a_file_and_made_a_table(tmp_path: Path) -> None:
+    path = tmp_path / "results.jsonl"
+    broken = [Violation("lost", "a request")]
+    kept = Verdict([], Counter(fetch=3), Counter(crowd=2), Counter(), mix="crowd")
+    late = Verdict([], Counter(), Counter(), Counter(), mix="all", kill_late_seconds=0.2)
+    for seed, verdict in enumerate((kept, replace(kept, violations=broken), late)):
+        add_result(path, seed, 12.0, verdict)
+    rows = read_results(path)
+    assert played_seeds(path, rows[0].commit) == {0, 1}  # that of the late driver is played again
+    assert played_seeds(path, "another") == frozenset()
+    shown = table(rows)
+    assert "| 0 | crowd |" in shown and "all kept" in shown
+    assert "1 violations: lost" in shown and "not run: the driver was late" in shown
+
+
+@pytest.mark.parametrize("seed", CI_SEEDS)
+def test_a_short_run_of_a_fixed_seed_keeps_all_rules(tmp_path: Path, seed: int) -> None:
+    verdict = play(tmp_path, seed, CI_SECONDS, Size(4, 6, 4), list(Trouble))
     assert verdict.violations == [], verdict.violations
-    assert sum(verdict.counts.values()) > 1000 and verdict.injected > 0
+    assert sum(verdict.counts.values()) > 1000
+    assert verdict.injected > 0 or verdict.mix == "fleet"  # whose troubles fail no system call
     assert verdict.counters["invariant_violations"] == 0
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -13,6 +13,7 @@
 
 from umberlead.testing.soak.fleet import FrontProcess
 from umberlead.testing.soak.judge import Evidence, budgets, slow_starts
+from umberlead.testing.soak.mix import Mix
 from umberlead.testing.soak.plan import Size
 from umberlead.testing.soak.records import ClientRecord, Event, NodeRecord, read
 from umberlead.testing.soak.run import Run
@@ -20,13 +21,14 @@
 
 HOUR_NS = 3600 * 1_000_000_000
 SEED = 1
+DEADLINE_SECONDS = 2.5
 
 
 def play(folder: Path, nodes: int, steps: Callable[[Run], Awaitable[None]]) -> Run:
     """Start one front and its chunk servers, carry out the steps, and end all; the run has what was seen."""
 
     async def whole() -> Run:
-        run = Run(folder, SEED, 0.0, Size(1, nodes, 0), [])
+        run = Run(folder, SEED, 0.0, Mix("one front", Size(1, nodes, 0), DEADLINE_SECONDS, ()), [])
         try:
             await run.start()
             await steps(run)
--- a/umberlead/testing/soak/__main__.py
+++ b/umberlead/testing/soak/__main__.py
@@ -7,7 +7,9 @@
 import click
 
 from umberlead.testing.soak.plan import Size, Trouble
-from umberlead.testing.soak.run import Verdict, play
+from umberlead.testing.soak.results import add_result, played_seeds, program_commit
+from umberlead.testing.soak.run import play
+from umberlead.testing.soak.verdict import Verdict
 
 SHOWN_COUNTERS = ("invariant_", "unexpected_", "module_errors", "clients_closed_", "attempts_barred_")
 
@@ -22,8 +24,12 @@
     for violation in verdict.violations:
         click.echo(f"seed {seed}: {violation.rule}: {violation.what}")
     total = sum(verdict.counts.values())
-    word = f"{len(verdict.violations)} violations" if verdict.violations else "all kept"
-    click.echo(f"seed {seed}: {word}, {total} requests, {verdict.injected} system calls failed by order")
+    click.echo(
+        f"seed {seed} ({verdict.mix}): {verdict.outcome()}, {total} requests,"
+        f" {verdict.injected} system calls failed by order,"
+        f" driver late by {verdict.late_seconds * 1000:.0f} ms,"
+        f" SIGKILL by {verdict.kill_late_seconds * 1000:.0f} ms"
+    )
 
 
 @click.command()
@@ -37,6 +43,11 @@
     "--trouble", "names", multiple=True, type=click.Choice([t.value for t in Trouble]), help="Only these."
 )
 @click.option("--keep", type=click.Path(path_type=Path), help="A folder for the records and logs.")
+@click.option(
+    "--results",
+    type=click.Path(path_type=Path),
+    help="A file of results, a line of JSON each; seeds that it holds for this commit are not played again.",
+)
 @click.option("--verbose", is_flag=True)
 def main(
     seed: int,
@@ -47,18 +58,24 @@
     clients: int,
     names: tuple[str, ...],
     keep: Path | None,
+    results: Path | None,
     verbose: bool,
 ) -> None:
     """Play soak runs; exits with 1 where a rule was broken."""
     troubles = [Trouble(name) for name in names] or list(Trouble)
     failed = False
+    known = played_seeds(results, program_commit()) if results is not None else frozenset()
     for number in range(seed, seed + runs):
+        if number in known:
+            continue
         with tempfile.TemporaryDirectory() as made:
             folder = keep / str(number) if keep is not None else Path(made)
             folder.mkdir(parents=True, exist_ok=True)
             verdict = play(folder, number, seconds, Size(fronts, nodes, clients), troubles)
         show(number, verdict, verbose)
-        failed |= bool(verdict.violations)
+        if results is not None:
+            add_result(results, number, seconds, verdict)
+        failed |= verdict.is_judged() and bool(verdict.violations)
     sys.exit(failed)
 
 
--- a/umberlead/testing/soak/client.py
+++ b/umberlead/testing/soak/client.py
@@ -1,7 +1,6 @@
 """Clients of one soak run, as a process.
 
-`python -m umberlead.testing.soak.client SEED SECONDS RATE SHARDS FILE
-FRONT=ADDRESS...`.
+`python -m umberlead.testing.soak.client SEED SECONDS RATE DEADLINE IMPATIENT SHARDS FILE FRONT=ADDRESS...`.
 
 Each client asks one front on a connection of its own and behaves in one way, well or badly. All write down
 what they sent, when, and how it ended.
@@ -13,6 +12,7 @@
 import struct
 import sys
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
@@ -29,6 +29,7 @@
 CONNECT_SECONDS = 2.0
 MAX_PIPELINED = 5
 CLIENT_RATE = 4.0  # requests a second of one client
+BUSY_PAUSE_SECONDS = 0.02  # at most, of a busy client between an answer and its next request
 BUDGETS = (0.3, 0.6, 1.5, 2.5)
 
 
@@ -36,6 +37,7 @@
     """How a client behaves."""
 
     STEADY = "steady"  # one request at a time on a kept connection
+    BUSY = "busy"  # the same, and asks again at once: also on a front that ends, until that closes it
     FRESH = "fresh"  # a new connection for each request
     RESTING = "resting"  # rests between requests, until the front ends the connection or it asks again
     PIPELINE = "pipeline"  # several requests at once
@@ -46,6 +48,7 @@
 
 KINDS = (
     *[Kind.STEADY] * 6,
+    *[Kind.BUSY] * 2,
     *[Kind.FRESH] * 5,
     *[Kind.RESTING] * 3,
     *[Kind.PIPELINE] * 2,
@@ -55,6 +58,9 @@
 )
 
 
+IMPATIENT_KINDS = (*KINDS, *[Kind.LEAVER] * 30)
+
+
 @dataclass(slots=True)
 class Sent:
     """A request that was written, and what became of it."""
@@ -169,8 +175,16 @@
 class Clients:
     """All clients of the process."""
 
-    def __init__(self, seed: int, record: Writer, fronts: dict[str, tuple[str, int]], shards: int) -> None:
-        """Ask `fronts`, by name, for data of `shards`, drawn from `seed`."""
+    def __init__(
+        self,
+        seed: int,
+        record: Writer,
+        fronts: dict[str, tuple[str, int]],
+        shards: int,
+        deadline_seconds: float,
+    ) -> None:
+        """Ask `fronts`, by name, for data of `shards`, drawn from `seed`, for that time at most."""
+        self.budgets = [budget for budget in BUDGETS if budget < deadline_seconds] + [deadline_seconds]
         self.chance = random.Random(f"clients/{seed}")
         self.record, self.fronts, self.shards, self.seed = record, fronts, shards, seed
         self.number = 0
@@ -223,7 +237,10 @@
         front = self.chance.choice(sorted(self.fronts))
         connection: Connection | None = None
         while loop.time() < until:
-            await asyncio.sleep(self.chance.expovariate(rate))
+            if kind is Kind.BUSY and connection is not None:
+                await asyncio.sleep(self.chance.uniform(0.0, BUSY_PAUSE_SECONDS))
+            else:
+                await asyncio.sleep(self.chance.expovariate(rate))
             if kind is Kind.RESTING:
                 await asyncio.sleep(self.chance.uniform(0.0, 3.0))
             if connection is not None and not connection.usable():
@@ -254,7 +271,7 @@
 
     async def _ask(self, kind: Kind, front: str, connection: Connection) -> None:
         count = self.chance.randint(2, MAX_PIPELINED) if kind is Kind.PIPELINE else 1
-        budget = self.chance.choice(BUDGETS)  # one for all: an answer waits for those before it
+        budget = self.chance.choice(self.budgets)  # one for all: an answer waits for those before it
         made = [self.request(connection, behind, budget) for behind in range(count)]
         sent = [request for request, _ in made]
         data = b"".join(part for _, part in made)
@@ -328,11 +345,11 @@
             connection.transport.close()
 
 
-async def run(clients: Clients, seconds: float, rate: float) -> None:
-    """Be all clients of this process, `rate` requests a second together, for so long."""
+async def run(clients: Clients, seconds: float, rate: float, choice: Sequence[Kind]) -> None:
+    """Be all clients of this process, of kinds drawn from `choice`, `rate` requests a second, for so long."""
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
-    kinds = [clients.chance.choice(KINDS) for _ in range(max(int(rate / CLIENT_RATE), 1))]
+    kinds = [clients.chance.choice(choice) for _ in range(max(int(rate / CLIENT_RATE), 1))]
     await asyncio.gather(*(clients.live(kind, CLIENT_RATE, until) for kind in kinds))
 
 
@@ -347,10 +364,11 @@
 
 def main(words: list[str]) -> None:
     """Run the clients that the words describe."""
-    seed, seconds, rate, shards, path, *fronts = words
-    clients = Clients(int(seed), Writer(Path(path)), _fronts(fronts), int(shards))
+    seed, seconds, rate, deadline, impatient, shards, path, *fronts = words
+    clients = Clients(int(seed), Writer(Path(path)), _fronts(fronts), int(shards), float(deadline))
+    kinds = IMPATIENT_KINDS if int(impatient) else KINDS
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run(clients, float(seconds), float(rate)))
+        runner.run(run(clients, float(seconds), float(rate), kinds))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/umberlead/testing/soak/crowd.py
@@ -0,0 +1,50 @@
+"""Idle clients that fill a front: `python -m umberlead.testing.soak.crowd ADDRESS COUNT SECONDS`.
+
+Some say nothing, others ask whether the front is ready and then rest on their connections.
+"""
+
+import asyncio
+import sys
+
+import uvloop
+
+ASK = b"GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n"
+ASKING_EVERY = 2  # one of so many asks
+DIAL_SECONDS = 2.0
+RECONNECT_SECONDS = 0.1  # after a front ended a connection
+
+
+async def _rest(host: str, port: int, asks: bool, until: float) -> None:
+    """Hold a connection until then, and open another where the front ends it."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        try:
+            async with asyncio.timeout(DIAL_SECONDS):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(RECONNECT_SECONDS)
+            continue
+        if asks:
+            writer.write(ASK)
+        try:
+            async with asyncio.timeout_at(until):
+                while await reader.read(4096):
+                    pass
+        except (OSError, TimeoutError):
+            pass
+        writer.transport.abort()
+        await asyncio.sleep(RECONNECT_SECONDS)
+
+
+async def run(address: str, count: int, seconds: float) -> None:
+    """Rest on `count` connections for so long."""
+    host, _, port = address.partition(":")
+    until = asyncio.get_running_loop().time() + seconds
+    await asyncio.gather(
+        *(_rest(host, int(port), number % ASKING_EVERY == 0, until) for number in range(count))
+    )
+
+
+if __name__ == "__main__":
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(sys.argv[1], int(sys.argv[2]), float(sys.argv[3])))
--- a/umberlead/testing/soak/judge.py
+++ b/umberlead/testing/soak/judge.py
@@ -15,6 +15,7 @@
 BY_HAND_GRACE_NS = 1050 * MS
 MACHINE_SLACK_NS = 120 * MS  # that a process of the test itself may be behind, beyond what it noticed
 KILL_SLACK_NS = 400 * MS  # round a kill, in which what broke broke by it
+CROWD_SLACK_NS = 500 * MS  # behind a crowd, until its last connection is closed
 LINK_SLACK_NS = 300 * MS  # behind a trouble of a link, in which what it held comes in
 
 
@@ -80,9 +81,20 @@
     return found
 
 
+def _crowds(events: Iterable[Event]) -> dict[str, list[tuple[int, int]]]:
+    """From when to when idle clients filled each front."""
+    found = defaultdict(list)
+    for event in events:
+        if event.what == "crowd":
+            found[event.who].append((event.at, event.at + int(event.value * 1e9) + CROWD_SLACK_NS))
+    return found
+
+
 def lost(evidence: Evidence) -> list[Violation]:
     """Find requests that were sent whole and got no final answer in time, by no fault of their clients."""
     kills = _kills(evidence.events)
+    crowds = _crowds(evidence.events)
+    forwarded = {row.id for row in evidence.nodes}
     found = []
     for row in evidence.clients:
         if not row.sent_last or row.end in ("left", "closing"):
@@ -94,6 +106,9 @@
             continue  # it crossed the end of a resting connection, unread
         if row.end == "reset" and row.behind > 0:
             continue  # sent ahead, and unread behind a reply that ended the connection
+        is_new = row.used == 0 and row.end in ("reset", "eof") and row.id not in forwarded
+        if is_new and any(begin <= row.connected <= end for begin, end in crowds[row.front]):
+            continue  # a new connection may be shut unread where a crowd fills the front
         ended = row.ended or due
         if any(
             row.connected <= at + KILL_SLACK_NS and at <= ended + KILL_SLACK_NS for at in kills[row.front]
--- a/umberlead/testing/soak/plan.py
+++ b/umberlead/testing/soak/plan.py
@@ -9,9 +9,8 @@
 SHORTEST_SECONDS, LONGEST_SECONDS = 0.4, 3.0  # of a trouble
 GAP_SECONDS = (0.6, 1.6)  # between the begins of two bundles of troubles
 BUNDLES = (2, 3)  # troubles that overlap
-FRONT_ENDS_SECONDS = (
-    6.5  # in which a front that was told to end, killed or replaced gets no second such trouble
-)
+# In which a front that was told to end, killed or replaced gets no second such trouble.
+FRONT_ENDS_SECONDS = 6.5
 
 
 class Trouble(Enum):
@@ -39,12 +38,28 @@
     FOLDER_FAILS = "folder_fails"  # a front's state folder takes no writes
     CLOCK_STEP = "clock_step"  # a front's wall clock steps
     CLOCK_STEP_ALL = "clock_step_all"  # the wall clock of all machines steps
-
-
-FRONT_ENDS = (Trouble.FRONT_RESTART, Trouble.FRONT_KILL, Trouble.FRONT_HANDOVER)
+    FRONT_TERM_TWICE = "front_term_twice"  # a front: SIGTERM three times within 0.1 s
+    FRONT_RELOAD_BURST = "front_reload_burst"  # a front: SIGHUP six times, each with another configuration
+    FRONT_RELOAD_AND_TERM = "front_reload_and_term"  # a front: SIGHUP before, with and after SIGTERM
+    FRONT_TERM_EARLY = "front_term_early"  # a front: SIGTERM to a process that is not ready yet
+    FRONT_TERM_BOTH = "front_term_both"  # a front: SIGTERM to both processes of a hand-over
+    FRONT_HANDOVER_TWICE = "front_handover_twice"  # a front: a hand-over while the one before still ends
+    CROWD = "crowd"  # a front: idle clients fill its descriptors, at times while its agent says nothing
+
+
+SIGNAL_SERIES = (
+    Trouble.FRONT_TERM_TWICE,
+    Trouble.FRONT_RELOAD_BURST,
+    Trouble.FRONT_RELOAD_AND_TERM,
+    Trouble.FRONT_TERM_EARLY,
+    Trouble.FRONT_TERM_BOTH,
+    Trouble.FRONT_HANDOVER_TWICE,
+)
+FRONT_ENDS = (Trouble.FRONT_RESTART, Trouble.FRONT_KILL, Trouble.FRONT_HANDOVER, *SIGNAL_SERIES)
 AT_FRONTS = frozenset(
     (
         *FRONT_ENDS,
+        Trouble.CROWD,
         Trouble.FRONT_RELOAD,
         Trouble.FRONT_PAUSE,
         Trouble.LISTS_SILENT,
--- a/umberlead/testing/soak/processes.py
+++ b/umberlead/testing/soak/processes.py
@@ -80,16 +80,23 @@
         self._due = self._loop.time()
         self._worst_until = 0.0
         self._worst = 0.0
+        self._worst_ever = 0.0
         self._beat()
 
     def _beat(self) -> None:
         now = self._loop.time()
         late = now - self._due
+        self._worst_ever = max(self._worst_ever, late)
         if late >= self._worst or now >= self._worst_until:
             self._worst, self._worst_until = late, now + 0.1
         self._due = now + PULSE_SECONDS
         self._loop.call_at(self._due, self._beat)
 
+    def worst_ns(self) -> int:
+        """Return the worst lateness since the latest call of this method."""
+        worst, self._worst_ever = self._worst_ever, 0.0
+        return int(max(worst, self._loop.time() - self._due) * 1e9)
+
     def now_ns(self) -> int:
         """Return the worst lateness of the latest tenth of a second."""
         current = self._loop.time() - self._due
--- a/umberlead/testing/soak/run.py
+++ b/umberlead/testing/soak/run.py
@@ -8,64 +8,56 @@
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 
 from umberlead.testing.soak import fleet
 from umberlead.testing.soak.fleet import Child, FaultsFile, FrontProcess, StartError
 from umberlead.testing.soak.judge import Evidence, Violation, judge
 from umberlead.testing.soak.lists import BEAT_SECONDS, Agent, Entry
+from umberlead.testing.soak.mix import Mix, mix_of
 from umberlead.testing.soak.parts import Front, Server
 from umberlead.testing.soak.plan import Interval, Size, Trouble, draw
+from umberlead.testing.soak.processes import Lateness
 from umberlead.testing.soak.records import ClientRecord, Event, NodeRecord, Writer, read
 from umberlead.testing.soak.scenario import (
     CLIENT_PROCESS_RATE,
+    CROWD_CLIENTS,
     DESCRIPTORS,
-    END_SECONDS,
+    FIRST_MANAGEMENT_PORT,
     FRONT_HOST,
     LISTS_PORT,
     LOOK_SECONDS,
-    MANAGEMENT_PORT,
+    MANAGEMENT_PORTS_COUNT,
     MEMORY_MB,
     NODE_HOST,
     OTHER_LISTS_PORT,
-    OTHER_MANAGEMENT_PORT,
     PORT,
     PROXY_HOST,
     READY_SECONDS,
+    kill_delay_seconds,
     limits,
     settings,
 )
 from umberlead.testing.soak.troubles import Troubles
+from umberlead.testing.soak.verdict import Verdict, last_counters, log_lines
 
 _numbers = itertools.count()  # of the runs in this process
 
 
-@dataclass(slots=True)
-class Verdict:
-    """How a run went.
-
-    Attributes:
-        violations: what was broken.
-        counts: how requests ended.
-        troubles: how often each trouble was played.
-        counters: the fronts' counters, summed over their processes.
-        injected: system calls that failed by order.
-    """
-
-    violations: list[Violation]
-    counts: Counter[str]
-    troubles: Counter[str]
-    counters: Counter[str]
-    injected: int = 0
-
-
 class Run:
     """A run in a folder of its own."""
 
-    def __init__(self, folder: Path, seed: int, seconds: float, size: Size, troubles: list[Interval]) -> None:
-        """Play `troubles` on a fleet of that size; addresses differ between runs at the same time."""
-        self.folder, self.seed, self.seconds, self.size, self.troubles = folder, seed, seconds, size, troubles
+    def __init__(self, folder: Path, seed: int, seconds: float, mix: Mix, troubles: list[Interval]) -> None:
+        """Play `troubles` on a fleet of that mix; addresses differ between runs at the same time."""
+        self.folder = folder
+        self.seed = seed
+        self.seconds = seconds
+        self.mix = mix
+        self.size = mix.size
+        self.troubles = troubles
+        self._late_seconds = 0.0
+        self._kill_late_seconds = 0.0
+        self._crowds: list[asyncio.subprocess.Process] = []
         pid = os.getpid()
         self.net = f"127.{64 + pid % 64}.{(pid // 64 + next(_numbers)) % 250 + 1}"
         self.fronts: list[Front] = []
@@ -150,12 +142,12 @@
             "discovery": f"{self._host(FRONT_HOST, front.number)}:{port}",
             "limits": {"cores": 1, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
             "known": {"index": front.agent.index, "snapshot": True, "endpoints": known},
-            "settings": settings(self.size),
+            "settings": settings(self.size, self.mix.deadline_seconds),
         }
         (front.folder / "config.json").write_text(json.dumps(config))
 
-    async def start_process(self, front: Front) -> FrontProcess:
-        """Start a process of a front beside those that run, and wait until it is ready."""
+    async def launch_process(self, front: Front) -> FrontProcess:
+        """Start a process of a front beside those that run; it is not ready yet."""
         self.configure(front)
         number = len(front.past) + len(front.processes)
         state = front.folder / "tmp"
@@ -166,8 +158,7 @@
             faults.faults.folder_rate = front.processes[-1].faults.faults.folder_rate
             faults.faults.folder_errno = front.processes[-1].faults.faults.folder_errno
         faults.apply()
-        port = OTHER_MANAGEMENT_PORT if front.managed_by_other else MANAGEMENT_PORT
-        front.managed_by_other = not front.managed_by_other
+        port = FIRST_MANAGEMENT_PORT + number % MANAGEMENT_PORTS_COUNT
         env = {
             "EDGE_CONFIG": str(front.folder / "config.json"),
             "EDGE_LISTEN": f"{self._host(FRONT_HOST, front.number)}:{PORT}",
@@ -183,6 +174,11 @@
             self.folder / f"{front.name}-{number}.log",
         )
         front.processes.append(process)
+        return process
+
+    async def start_process(self, front: Front) -> FrontProcess:
+        """Start a process of a front beside those that run, and wait until it is ready."""
+        process = await self.launch_process(front)
         try:
             await process.ready()
         except StartError as fault:
@@ -202,22 +198,40 @@
     # Ends of fronts
 
     async def end_process(self, front: Front, process: FrontProcess) -> None:
-        """Tell a process to end, and see that it does so in time and with 0."""
+        """Tell a process to end, and see that it does so with 0 before the platform's earliest SIGKILL.
+
+        SIGKILL comes at that moment. What it cuts off counts as lost: the front was told in time.
+        """
+        booting = process.ready_seconds is None
         process.ends = True
+        loop = asyncio.get_running_loop()
+        kill_at = loop.time() + kill_delay_seconds(self.mix.deadline_seconds)
         process.signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(END_SECONDS):
+            async with asyncio.timeout_at(kill_at):
                 code = await process.process.wait()
-            if code != 0:
+            # The interpreter itself has no handler yet when it begins.
+            if code != 0 and not (booting and code == -signal.SIGTERM):
                 tail = process.log.read_text(errors="replace")[-1500:]
                 self.broken("exit", f"{front.name} ended with {code}: {tail}")
         except TimeoutError:
-            self.note("front_killed", front.name)
-            self.broken("exit", f"{front.name} stands {END_SECONDS} s after SIGTERM")
             process.process.kill()
+            self._kill_late_seconds = max(self._kill_late_seconds, loop.time() - kill_at)
             await process.process.wait()
+            tail = process.log.read_text(errors="replace")[-1500:]
+            self.broken("stands", f"{front.name} stood at the earliest SIGKILL: {tail}")
         self._retire(front, process)
 
+    async def crowd(self, front: Front, seconds: float) -> None:
+        """Let idle clients fill a front for so long."""
+        self.note("crowd", front.name, value=seconds)
+        address = f"{self._host(FRONT_HOST, front.number)}:{PORT}"
+        words = (address, str(CROWD_CLIENTS), str(seconds))
+        call = (sys.executable, "-B", "-m", f"{fleet.MODULE}.crowd", *words)
+        crowd = await asyncio.create_subprocess_exec(*call)
+        self._crowds.append(crowd)
+        await crowd.wait()
+
     async def kill_process(self, front: Front, process: FrontProcess) -> None:
         """Kill a process of a front."""
         process.ends = process.killed = True
@@ -237,8 +251,10 @@
     async def _watch(self) -> None:
         """Look at what fronts hold, and that none ends unasked."""
         beat = 0.0
+        lateness = Lateness()
         while not self._over:
             await asyncio.sleep(LOOK_SECONDS)
+            self._late_seconds = max(self._late_seconds, lateness.worst_ns() / 1e9)
             beat += LOOK_SECONDS
             for front in self.fronts:
                 self._look(front)
@@ -269,6 +285,8 @@
                 self.seed * 100 + number,
                 self.seconds,
                 CLIENT_PROCESS_RATE,
+                self.mix.deadline_seconds,
+                int(self.mix.impatient),
                 self.size.nodes,
                 path,
                 *fronts,
@@ -298,7 +316,7 @@
 
     async def close(self) -> None:
         """Kill what still runs, and wait until it has ended."""
-        processes = [child.process for child in self.children]
+        processes = [*(child.process for child in self.children), *self._crowds]
         processes += [process.process for front in self.fronts for process in front.processes]
         for process in processes:
             if process.returncode is None:
@@ -314,35 +332,37 @@
         for path in sorted(self.folder.glob("node-*.jsonl")):
             evidence.nodes += read(path, NodeRecord)
         evidence.events = sorted(read(self.folder / "events.jsonl", Event), key=lambda event: event.at)
-        counters = self._counters()
+        counters = last_counters(self.folder)
         for name in ("invariant_violations", "unexpected_errors", "module_errors"):
             if counters[name]:
-                lines = [line for line in self._log_lines() if "violated" in line or "error" in line]
+                lines = [line for line in log_lines(self.folder) if "violated" in line or "error" in line]
                 self.broken(name, f"{counters[name]}: " + "; ".join(lines[:5]))
         found = [*self.violations, *judge(evidence, limits())]
         counts = Counter(f"{row.kind} {row.end} {row.status or ''}".strip() for row in evidence.clients)
         injected = sum(p.faults.injected() for f in self.fronts for p in (*f.past, *f.processes))
-        return Verdict(found, counts, self._troubles.played, counters, injected)
-
-    def _log_lines(self) -> list[str]:
-        paths = sorted(self.folder.glob("f*-*.log"))
-        return [line for path in paths for line in path.read_text(errors="replace").splitlines()]
-
-    def _counters(self) -> Counter[str]:
-        """Sum the last counters that each process logged."""
-        total: Counter[str] = Counter()
-        for path in self.folder.glob("f*-*.log"):
-            lines = [line for line in path.read_text(errors="replace").splitlines() if " counters [" in line]
-            for pair in lines[-1].split("[", 1)[1].split() if lines else ():
-                name, _, value = pair.partition("=")
-                text = value.strip('"]')
-                if text.isdigit():
-                    total[name] += int(text)
-        return total
+        return Verdict(
+            found,
+            counts,
+            self._troubles.played,
+            counters,
+            injected,
+            self.mix.name,
+            self._late_seconds,
+            self._kill_late_seconds,
+        )
 
 
 def play(folder: Path, seed: int, seconds: float, size: Size, troubles: list[Trouble]) -> Verdict:
-    """Play a run in `folder`, which is empty, and return its verdict."""
-    run = Run(folder, seed, seconds, size, draw(seed, seconds, size, troubles))
+    """Play a run in `folder`, which is empty, and return its verdict.
+
+    Args:
+        folder: for records and logs.
+        seed: of the mix, the troubles and the clients.
+        seconds: how long clients ask.
+        size: of a run of usual size.
+        troubles: those that may be drawn.
+    """
+    mix = mix_of(seed, size, troubles)
+    run = Run(folder, seed, seconds, mix, draw(seed, seconds, mix.size, mix.troubles))
     with asyncio.Runner() as runner:
         return runner.run(run.play_all())
--- a/umberlead/testing/soak/scenario.py
+++ b/umberlead/testing/soak/scenario.py
@@ -3,21 +3,23 @@
 import errno
 from typing import Any
 
-from umberlead.testing.soak.judge import Limits
+from umberlead.testing.soak.judge import MACHINE_SLACK_NS, Limits
 from umberlead.testing.soak.plan import CLOCK_STEPS_SECONDS, Interval, Size, Trouble
 
-PORT, MANAGEMENT_PORT, OTHER_MANAGEMENT_PORT, LISTS_PORT, OTHER_LISTS_PORT = 8000, 8001, 8002, 8003, 8004
+PORT, LISTS_PORT, OTHER_LISTS_PORT = 8000, 8003, 8004
+# Of the admin API: another one for each process of a front, so that a call reaches the one it is for.
+FIRST_MANAGEMENT_PORT, MANAGEMENT_PORTS_COUNT = 8010, 50
 FRONT_HOST, NODE_HOST, PROXY_HOST = 10, 50, 120  # last part of the addresses of the first of each
 CLIENT_PROCESS_RATE = 70.0  # requests a second of each process of clients
-DEADLINE_SECONDS, GRACE_SECONDS = (
-    2.5,
-    0.7,
-)  # the longest deadline; more that the platform gives before SIGKILL
-END_SECONDS = max(DEADLINE_SECONDS, 3.0) + GRACE_SECONDS + 0.5  # in which a front told to end has to
+# SIGKILL follows SIGTERM by the longest deadline, counted as 3 s at most, and this time.
+KILL_GRACE_SECONDS = 0.7
+MAX_KILL_DEADLINE_SECONDS = 3.0
 READY_SECONDS = 10.0  # in which a restarted front has to be ready
 DRAINED_AFTER_SECONDS = 3.5  # after all fronts were told of a drain, until the server goes
 LOOK_SECONDS = 0.25  # between looks at descriptors and memory
 DESCRIPTORS, MEMORY_MB = 256, 128
+CROWD_CLIENTS = 140  # more than a front of so many descriptors has places for clients
+MAX_DRIVER_LATE_SECONDS = MACHINE_SLACK_NS / 1e9  # what the judge allows: beyond it a run can't be judged
 COLD_UNITS, COLD_SHARE, MEAN_UNITS, WARM_UP_SECONDS, COLD_WINDOW_SECONDS = 24.0, 0.2, 1.75, 8.0, 2.0
 UNSAFE_CLASS, SAFE_CLASS = "store", "fetch"
 ACCEPT_FAILS_SECONDS = 0.25  # that none is accepted: a request has a final answer in time all the same
@@ -27,20 +29,25 @@
 FOLDER_ERRORS = (errno.ENOSPC, errno.EIO)
 
 
-def settings(size: Size) -> dict[str, Any]:
+def kill_delay_seconds(deadline_seconds: float) -> float:
+    """Return how long after SIGTERM the platform's SIGKILL comes at the earliest."""
+    return min(deadline_seconds, MAX_KILL_DEADLINE_SECONDS) + KILL_GRACE_SECONDS
+
+
+def settings(size: Size, deadline_seconds: float) -> dict[str, Any]:
     """Return the settings of the run, as the platform gives them."""
     second = 1_000_000
     grades = [
         {
             "name": SAFE_CLASS,
-            "aim": second,
-            "hardLimit": int(DEADLINE_SECONDS * second),
+            "aim": int(min(deadline_seconds, 1.0) * second),
+            "hardLimit": int(deadline_seconds * second),
             "effect": "idempotent",
         },
         {
             "name": UNSAFE_CLASS,
-            "aim": second,
-            "hardLimit": int(DEADLINE_SECONDS * second),
+            "aim": int(min(deadline_seconds, 1.0) * second),
+            "hardLimit": int(deadline_seconds * second),
             "effect": "at_most_once",
             "credit": 2,
         },
--- /dev/null
+++ b/umberlead/testing/soak/signals.py
@@ -0,0 +1,107 @@
+"""Signals in series to a front's processes: repeated, in bursts, crossing starts, reloads and hand-overs."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from umberlead.testing.soak.fleet import FrontProcess
+from umberlead.testing.soak.parts import Fleet, Front
+from umberlead.testing.soak.plan import Interval, Trouble
+
+MAX_GAP_SECONDS = 0.05  # between two signals of a series
+BURST_COUNT = 6
+MAX_EARLY_SECONDS = 0.5  # after a process began, in which it is told to end before it is ready
+
+
+class SignalSeries:
+    """Sends series of signals to fronts of a fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Send them to the fronts of `fleet`."""
+        self._fleet = fleet
+        self.plays: dict[Trouble, Callable[[Front, random.Random], Awaitable[None]]] = {
+            Trouble.FRONT_TERM_TWICE: self._term_twice,
+            Trouble.FRONT_RELOAD_BURST: self._reload_burst,
+            Trouble.FRONT_RELOAD_AND_TERM: self._reload_and_term,
+            Trouble.FRONT_TERM_EARLY: self._term_early,
+            Trouble.FRONT_TERM_BOTH: self._term_both,
+            Trouble.FRONT_HANDOVER_TWICE: self._handover_twice,
+        }
+
+    async def play(self, front: Front, interval: Interval) -> None:
+        """Play the series that `interval` names; its gaps are drawn from the interval's variant."""
+        await self.plays[interval.trouble](front, random.Random(interval.variant))
+
+    @staticmethod
+    async def _gap(chance: random.Random) -> None:
+        await asyncio.sleep(chance.uniform(0.0, MAX_GAP_SECONDS))
+
+    def _reload(self, front: Front, process: FrontProcess) -> None:
+        """Give a front another configuration, and have one process read it."""
+        front.moved = not front.moved
+        self._fleet.configure(front)
+        process.signal(signal.SIGHUP)
+
+    async def _end(self, front: Front, process: FrontProcess) -> None:
+        await self._fleet.end_process(front, process)
+
+    async def _term_twice(self, front: Front, chance: random.Random) -> None:
+        for process in front.live():
+            ending = asyncio.create_task(self._end(front, process))
+            for _ in range(2):
+                await self._gap(chance)
+                process.signal(signal.SIGTERM)
+            await ending
+        await self._fleet.start_process(front)
+
+    async def _reload_burst(self, front: Front, chance: random.Random) -> None:
+        for process in front.live():
+            for _ in range(BURST_COUNT):
+                self._reload(front, process)
+                await self._gap(chance)
+
+    async def _reload_and_term(self, front: Front, chance: random.Random) -> None:
+        """Reload just before, with and just after the signal to end."""
+        for process in front.live():
+            self._reload(front, process)
+            await self._gap(chance)
+            ending = asyncio.create_task(self._end(front, process))
+            await asyncio.sleep(0)
+            self._reload(front, process)
+            await self._gap(chance)
+            self._reload(front, process)
+            await ending
+        await self._fleet.start_process(front)
+
+    async def _term_early(self, front: Front, chance: random.Random) -> None:
+        """End a process before it is ready: in place of the front's processes, or beside them."""
+        beside = chance.random() < 0.5
+        if not beside:
+            for process in front.live():
+                await self._end(front, process)
+        early = await self._fleet.launch_process(front)
+        await asyncio.sleep(chance.uniform(0.0, MAX_EARLY_SECONDS))
+        await self._end(front, early)
+        if not beside:
+            await self._fleet.start_process(front)
+
+    async def _term_both(self, front: Front, chance: random.Random) -> None:
+        """Tell both processes of a hand-over to end."""
+        await self._fleet.start_process(front)
+        ending = []
+        for process in front.live():
+            ending.append(asyncio.create_task(self._end(front, process)))
+            await self._gap(chance)
+        await asyncio.gather(*ending)
+        await self._fleet.start_process(front)
+
+    async def _handover_twice(self, front: Front, chance: random.Random) -> None:
+        """Begin a second hand-over while the first process still ends."""
+        ending = []
+        for _ in range(2):
+            old = front.live()
+            await self._fleet.start_process(front)
+            ending += [asyncio.create_task(self._end(front, process)) for process in old]
+            await self._gap(chance)
+        await asyncio.gather(*ending)
--- a/umberlead/testing/soak/troubles.py
+++ b/umberlead/testing/soak/troubles.py
@@ -5,51 +5,12 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
-from umberlead.testing.soak.fleet import FrontProcess
 from umberlead.testing.soak.lists import Entry
-from umberlead.testing.soak.parts import Front, Server
-from umberlead.testing.soak.plan import Interval, Trouble
+from umberlead.testing.soak.parts import Fleet, Front, Server
+from umberlead.testing.soak.plan import SIGNAL_SERIES, Interval, Trouble
 from umberlead.testing.soak.scenario import ACCEPT_FAILS_SECONDS, DRAINED_AFTER_SECONDS, faults_of
-
-
-class Fleet(Protocol):
-    """What troubles need of a run.
-
-    Attributes:
-        fronts: by their numbers.
-        servers: those in service, by their slots.
-        incarnations: starts so far, by server name and by slot.
-    """
-
-    fronts: list[Front]
-    servers: dict[int, Server]
-    incarnations: Counter[str]
-
-    def note(self, what: str, who: str, at: float | None = None, value: float = 0.0) -> None:
-        """Write an event down, at that monotonic time in seconds or now."""
-
-    def entry(self, server: Server, status: str = "ready", cold: bool = False) -> Entry:
-        """Return a server as lists tell of it."""
-
-    def configure(self, front: Front) -> None:
-        """Write a front's configuration anew."""
-
-    def step_clock(self, step_ns: int) -> None:
-        """Step the wall clock of all machines."""
-
-    async def start_server(self, slot: int, name: str, cold: bool) -> Server:
-        """Start a chunk server and its proxy."""
-
-    async def start_process(self, front: Front) -> FrontProcess:
-        """Start a process of a front, and wait until it is ready."""
-
-    async def end_process(self, front: Front, process: FrontProcess) -> None:
-        """Tell a process to end, and see that it does."""
-
-    async def kill_process(self, front: Front, process: FrontProcess) -> None:
-        """Kill a process."""
+from umberlead.testing.soak.signals import SignalSeries
 
 
 class Troubles:
@@ -62,6 +23,7 @@
     def __init__(self, run: Fleet) -> None:
         """Play on the fleet of `run`."""
         self._run = run
+        self._signals = SignalSeries(run)
         self.played: Counter[str] = Counter()
 
     async def play(self, intervals: list[Interval], seconds: float) -> None:
@@ -93,6 +55,8 @@
             Trouble.LISTS_SILENT: self._lists_silent,
             Trouble.LISTS_RESET: self._lists_reset,
             Trouble.CLOCK_STEP_ALL: self._clock_step_all,
+            Trouble.CROWD: self._crowd,
+            **dict.fromkeys(SIGNAL_SERIES, self._signal_series),
         }
         self.played[interval.trouble.value] += 1
         self._run.note(interval.trouble.value, str(interval.target), value=interval.end - interval.begin)
@@ -229,6 +193,19 @@
     async def _lists_reset(self, interval: Interval) -> None:
         self._front(interval).agent.reset()
 
+    async def _signal_series(self, interval: Interval) -> None:
+        await self._signals.play(self._front(interval), interval)
+
+    async def _crowd(self, interval: Interval) -> None:
+        """Fill a front with idle clients; every other time its agent says nothing meanwhile."""
+        front = self._front(interval)
+        silent = interval.variant < 0.5
+        if silent:
+            front.agent.fall_silent()
+        await self._run.crowd(front, interval.end - interval.begin)
+        if silent:
+            front.agent.speak()
+
     async def _system_faults(self, interval: Interval) -> None:
         """Have system calls of a front's processes fail for a while; its clock stays stepped."""
         front = self._front(interval)
