Listen again where the system lacks a socket's buffers as a process starts

Callers saw: nothing served after a restart, or the new process of a hand-over was missing: it had ended with 2.

Cause: FrontProcess.run listens once; a lack that passes (ENOBUFS, ENOMEM, ENFILE, EMFILE) ended the start. Ruled out: the address (free, and in use is still an error).

Change: it tries again every 50 ms for 5 s, and stops trying once it is told to end. Evidence: test_system_faults.py, no_buffers_for_sockets, failed before (exit 2) and passed three times in a row. Tests of start, service and hand-over processes passed (20).

--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -22,6 +22,7 @@
 HOUR_NS = 3600 * 1_000_000_000
 SEED = 1
 DEADLINE_SECONDS = 2.5
+SHORTAGE_SECONDS = 1.0
 
 
 def play(folder: Path, nodes: int, steps: Callable[[Run], Awaitable[None]]) -> Run:
@@ -131,3 +132,26 @@
 
     run = play(tmp_path, 1, steps)
     assert not budgets(Evidence(clients=rows, nodes=attempts(run)))
+
+
+def test_a_start_while_the_system_has_no_buffers_for_sockets_waits_and_serves(tmp_path: Path) -> None:
+    """socket() fails with ENOBUFS for a second: the start ended with 2, and nothing served."""
+
+    async def steps(run: Run) -> None:
+        front = run.fronts[0]
+        await run.end_process(front, front.processes[0])
+        process = await run.launch_process(front)
+        set_faults(process, socket_rate=1000, socket_errno=errno.ENOBUFS)
+        await asyncio.sleep(SHORTAGE_SECONDS)
+        assert process.process.returncode is None, process.log.read_text()
+        set_faults(process, socket_rate=0)
+        await process.ready()
+        _, _, status = await ask(run, "after", 1.0)
+        assert status == 200
+        ending = await run.launch_process(front)
+        set_faults(ending, socket_rate=1000, socket_errno=errno.ENOBUFS)
+        await asyncio.sleep(SHORTAGE_SECONDS)
+        await run.end_process(front, ending)  # told to end while it waits
+
+    run = play(tmp_path, 1, steps)
+    assert run.violations == []
--- a/umberlead/daemon/process.py
+++ b/umberlead/daemon/process.py
@@ -4,8 +4,9 @@
 import gc
 import os
 import signal
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
+from functools import partial
 
 import uvloop
 
@@ -19,11 +20,14 @@
 from umberlead.daemon.shutdown import GracefulShutdown
 from umberlead.daemon.start_stages import StartStages, monotonic_us
 from umberlead.net.discovery import DiscoveryWatch
+from umberlead.resource_limits import LOCAL_RESOURCE_ERRNOS
 
 # How long a start waits for discovery's list; after that discovery is taken for down, and the configured list
 # used.
 FIRST_LIST_TIMEOUT_US = 400_000
 SWEEP_INTERVAL_US = 100_000
+LISTEN_RETRY_SECONDS = 0.05
+LISTEN_RETRIES_COUNT = 100
 # Garbage collections of the first generation: one for so many bytes of free memory, within these bounds.
 BYTES_PER_COLLECTION_THRESHOLD_UNITS = 4096
 MIN_COLLECTION_THRESHOLD = 700
@@ -82,8 +86,13 @@
         self._handle_signals()
         self._start_endpoint_lists()
         frontends = self.frontends.create_all()
-        self.frontends.listen_for_admins(
-            self._is_ready, self.state_sync.set_manual_drain, self.endpoint_list_sync.knows_endpoint
+        await self._listen_when_possible(
+            partial(
+                self.frontends.listen_for_admins,
+                self._is_ready,
+                self.state_sync.set_manual_drain,
+                self.endpoint_list_sync.knows_endpoint,
+            )
         )
         await self._start_gossip()
         self.state_sync.sync()
@@ -96,7 +105,9 @@
         if self.shutdown.stop_requested:  # before any client was accepted
             return
         for frontend in frontends:
-            self.frontends.listen(frontend)
+            await self._listen_when_possible(partial(self.frontends.listen, frontend))
+        if not self.listeners:  # told to end meanwhile
+            return
         self.reporting.log_limits()
         self.sweep()
         self.wheel.call_after(REPORT_INTERVAL_US, self.reporting.log_counters_periodically)
@@ -105,6 +116,25 @@
         self.reporting.log_start(self._stages)
         await self.done.wait()
 
+    async def _listen_when_possible(self, listen: Callable[[], None]) -> None:
+        """Listen; where the system lacks a resource for it now, try again, until the process is to end.
+
+        Raises:
+            OSError: An address can't be listened at, or the lack lasts.
+        """
+        for _ in range(LISTEN_RETRIES_COUNT):
+            if self.shutdown.stop_requested:
+                return
+            try:
+                listen()
+                return
+            except OSError as error:
+                if error.errno not in LOCAL_RESOURCE_ERRNOS:
+                    raise
+                self.counters.add("listens_failed")
+            await asyncio.sleep(LISTEN_RETRY_SECONDS)
+        listen()
+
     def _handle_signals(self) -> None:
         self.loop.add_signal_handler(signal.SIGTERM, self.shutdown.start)
         self.loop.add_signal_handler(signal.SIGINT, self.shutdown.start)
