--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -155,3 +155,31 @@
 
     run = play(tmp_path, 1, steps)
     assert run.violations == []
+
+
+def test_a_process_that_begins_on_a_machine_whose_clock_is_off_feeds_no_cold_server_as_a_warm_one(
+    tmp_path: Path,
+) -> None:
+    """No earlier process of its front saw the right time: starts an hour old by its clock counted as warm."""
+
+    async def whole() -> Run:
+        run = Run(tmp_path, SEED, 0.0, Mix("one front", Size(1, 1, 0), DEADLINE_SECONDS, ()), [])
+        try:
+            run.step_clock(HOUR_NS)  # of the machine that the front begins on
+            await run.start()
+            run.forget_clock_step()  # discovery's is right
+            await asyncio.sleep(COLD_WINDOW_SECONDS)
+            server = await run.start_server(0, "cold", cold=True)
+            run.fronts[0].agent.tell(run.entry(server, cold=True))
+            run.fronts[0].agent.tell(run.entry(run.first, status="gone"))
+            await asyncio.sleep(0.3)
+            await asyncio.gather(*(ask(run, f"{n}", 1.2) for n in range(120)))
+        finally:
+            await run.close()
+        return run
+
+    run = asyncio.run(whole())
+    events = list(read(run.folder / "events.jsonl", Event))
+    rows = [row for row in attempts(run) if row.node.startswith("cold")]
+    assert rows
+    assert not slow_starts(Evidence(nodes=rows, events=events), limits())
--- a/umberlead/testing/soak/__init__.py
+++ b/umberlead/testing/soak/__init__.py
@@ -1,4 +1,4 @@
-"""Soak test: some dozen real processes on loopback and troubles that overlap, judged by invariants.
+"""Soak test: some dozen real processes on loopback and faults that overlap, judged by invariants.
 
 `python -m umberlead.testing.soak --seed 7` plays one run and prints its verdict; `make soak` does so. Fronts
 run as on the platform, under a preloaded library that fails system calls (`faults.c`). Chunk servers, clients
--- a/umberlead/testing/soak/__main__.py
+++ b/umberlead/testing/soak/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-from umberlead.testing.soak.plan import Size, Trouble
+from umberlead.testing.soak.plan import Fault, Size
 from umberlead.testing.soak.results import add_result, played_seeds, program_commit
 from umberlead.testing.soak.run import play
 from umberlead.testing.soak.verdict import Verdict
@@ -17,7 +17,7 @@
 def show(seed: int, verdict: Verdict, verbose: bool) -> None:
     """Print a verdict."""
     if verbose:
-        click.echo("troubles: " + ", ".join(f"{k} {n}" for k, n in sorted(verdict.troubles.items())))
+        click.echo("faults: " + ", ".join(f"{k} {n}" for k, n in sorted(verdict.faults.items())))
         click.echo("requests: " + ", ".join(f"{k} {n}" for k, n in sorted(verdict.counts.items())))
         shown = {k: n for k, n in sorted(verdict.counters.items()) if k.startswith(SHOWN_COUNTERS)}
         click.echo("counters: " + ", ".join(f"{k} {n}" for k, n in shown.items()))
@@ -40,7 +40,7 @@
 @click.option("--nodes", default=8, show_default=True, help="Chunk servers, each with a proxy.")
 @click.option("--clients", default=5, show_default=True, help="Processes of clients.")
 @click.option(
-    "--trouble", "names", multiple=True, type=click.Choice([t.value for t in Trouble]), help="Only these."
+    "--trouble", "names", multiple=True, type=click.Choice([t.value for t in Fault]), help="Only these."
 )
 @click.option("--keep", type=click.Path(path_type=Path), help="A folder for the records and logs.")
 @click.option(
@@ -62,7 +62,7 @@
     verbose: bool,
 ) -> None:
     """Play soak runs; exits with 1 where a rule was broken."""
-    troubles = [Trouble(name) for name in names] or list(Trouble)
+    faults = [Fault(name) for name in names] or list(Fault)
     failed = False
     known = played_seeds(results, program_commit()) if results is not None else frozenset()
     for number in range(seed, seed + runs):
@@ -71,7 +71,7 @@
         with tempfile.TemporaryDirectory() as made:
             folder = keep / str(number) if keep is not None else Path(made)
             folder.mkdir(parents=True, exist_ok=True)
-            verdict = play(folder, number, seconds, Size(fronts, nodes, clients), troubles)
+            verdict = play(folder, number, seconds, Size(fronts, nodes, clients), faults)
         show(number, verdict, verbose)
         if results is not None:
             add_result(results, number, seconds, verdict)
--- a/umberlead/testing/soak/client.py
+++ b/umberlead/testing/soak/client.py
@@ -81,7 +81,9 @@
     def finish(self, end: str, status: int = 0, sound: bool = True) -> None:
         """Note the end, once."""
         if self.end == "open":
-            self.end, self.status, self.sound = end, status, sound
+            self.end = end
+            self.status = status
+            self.sound = sound
             self.ended = time.monotonic_ns()
             self.done.set()
 
@@ -120,7 +122,8 @@
     def on_message_complete(self) -> None:
         """Give the oldest request its answer."""
         status = self._parser.get_status_code()
-        body, self._body = self._body, b""
+        body = self._body
+        self._body = b""
         if status < 200:
             return
         if not self._parser.should_keep_alive():
@@ -186,7 +189,10 @@
         """Ask `fronts`, by name, for data of `shards`, drawn from `seed`, for that time at most."""
         self.budgets = [budget for budget in BUDGETS if budget < deadline_seconds] + [deadline_seconds]
         self.chance = random.Random(f"clients/{seed}")
-        self.record, self.fronts, self.shards, self.seed = record, fronts, shards, seed
+        self.record = record
+        self.fronts = fronts
+        self.shards = shards
+        self.seed = seed
         self.number = 0
 
     def request(self, connection: Connection, behind: int, budget: float) -> tuple[Sent, bytes]:
--- a/umberlead/testing/soak/troubles.py
+++ b/umberlead/testing/soak/fault_player.py
@@ -1,4 +1,4 @@
-"""Plays troubles on a running fleet of the soak test."""
+"""Plays faults on a running fleet of the soak test."""
 
 import asyncio
 import signal
@@ -8,13 +8,13 @@
 
 from umberlead.testing.soak.lists import Entry
 from umberlead.testing.soak.parts import Fleet, Front, Server
-from umberlead.testing.soak.plan import SIGNAL_SERIES, Interval, Trouble
+from umberlead.testing.soak.plan import SIGNAL_SERIES, Fault, Interval
 from umberlead.testing.soak.scenario import ACCEPT_FAILS_SECONDS, DRAINED_AFTER_SECONDS, faults_of
 from umberlead.testing.soak.signals import SignalSeries
 
 
-class Troubles:
-    """Plays troubles on a fleet.
+class FaultPlayer:
+    """Plays faults on a fleet.
 
     Attributes:
         played: how often each kind was.
@@ -27,40 +27,40 @@
         self.played: Counter[str] = Counter()
 
     async def play(self, intervals: list[Interval], seconds: float) -> None:
-        """Play all troubles at their times, and wait until each is over and so many seconds have gone by."""
+        """Play all faults at their times, and wait until each is over and so many seconds have gone by."""
         loop = asyncio.get_running_loop()
         began = loop.time()
         tasks = []
         for interval in intervals:
             await asyncio.sleep(max(began + interval.begin - loop.time(), 0))
-            tasks.append(loop.create_task(self._trouble(interval)))
+            tasks.append(loop.create_task(self._play_one(interval)))
         await asyncio.sleep(max(began + seconds - loop.time(), 0))
         await asyncio.gather(*tasks)
 
-    async def _trouble(self, interval: Interval) -> None:
-        plays: dict[Trouble, Callable[[Interval], Awaitable[None]]] = {
-            Trouble.FRONT_RESTART: self._front_restart,
-            Trouble.FRONT_KILL: self._front_kill,
-            Trouble.FRONT_HANDOVER: self._front_handover,
-            Trouble.FRONT_RELOAD: self._front_reload,
-            Trouble.FRONT_PAUSE: self._front_pause,
-            Trouble.NODE_DRAIN: self._node_drain,
-            Trouble.NODE_KILL: self._node_kill,
-            Trouble.NODE_HANG: self._node_hang,
-            Trouble.NODE_ERRORS: self._node_errors,
-            Trouble.NODE_BY_HAND: self._node_by_hand,
-            Trouble.LINK_STALL: self._link_stall,
-            Trouble.LINK_RESET: self._link_reset,
-            Trouble.LINK_PIECES: self._link_pieces,
-            Trouble.LISTS_SILENT: self._lists_silent,
-            Trouble.LISTS_RESET: self._lists_reset,
-            Trouble.CLOCK_STEP_ALL: self._clock_step_all,
-            Trouble.CROWD: self._crowd,
+    async def _play_one(self, interval: Interval) -> None:
+        plays: dict[Fault, Callable[[Interval], Awaitable[None]]] = {
+            Fault.FRONT_RESTART: self._front_restart,
+            Fault.FRONT_KILL: self._front_kill,
+            Fault.FRONT_HANDOVER: self._front_handover,
+            Fault.FRONT_RELOAD: self._front_reload,
+            Fault.FRONT_PAUSE: self._front_pause,
+            Fault.NODE_DRAIN: self._node_drain,
+            Fault.NODE_KILL: self._node_kill,
+            Fault.NODE_HANG: self._node_hang,
+            Fault.NODE_ERRORS: self._node_errors,
+            Fault.NODE_BY_HAND: self._node_by_hand,
+            Fault.LINK_STALL: self._link_stall,
+            Fault.LINK_RESET: self._link_reset,
+            Fault.LINK_PIECES: self._link_pieces,
+            Fault.LISTS_SILENT: self._lists_silent,
+            Fault.LISTS_RESET: self._lists_reset,
+            Fault.CLOCK_STEP_ALL: self._clock_step_all,
+            Fault.CROWD: self._crowd,
             **dict.fromkeys(SIGNAL_SERIES, self._signal_series),
         }
-        self.played[interval.trouble.value] += 1
-        self._run.note(interval.trouble.value, str(interval.target), value=interval.end - interval.begin)
-        await plays.get(interval.trouble, self._system_faults)(interval)
+        self.played[interval.fault.value] += 1
+        self._run.note(interval.fault.value, str(interval.target), value=interval.end - interval.begin)
+        await plays.get(interval.fault, self._system_faults)(interval)
 
     @staticmethod
     async def _last(interval: Interval) -> None:
@@ -214,7 +214,7 @@
             for name, value in changed.items():
                 setattr(process.faults.faults, name, value)
             process.faults.apply()
-        if interval.trouble is Trouble.CLOCK_STEP:
+        if interval.fault is Fault.CLOCK_STEP:
             return
         lasting = changed.get("accept_rate") == 1000
         await asyncio.sleep(ACCEPT_FAILS_SECONDS if lasting else interval.end - interval.begin)
--- a/umberlead/testing/soak/fleet.py
+++ b/umberlead/testing/soak/fleet.py
@@ -64,7 +64,8 @@
 
     def __init__(self, path: Path, folder: Path) -> None:
         """Make it at `path`; writes under `folder` may fail."""
-        self.path, self.faults = path, SystemFaults()
+        self.path = path
+        self.faults = SystemFaults()
         self._folder = str(folder).encode()
         path.write_bytes(bytes(FAULTS_FORMAT.size))
         with open(path, "r+b") as file:
--- a/umberlead/testing/soak/node.py
+++ b/umberlead/testing/soak/node.py
@@ -15,7 +15,7 @@
 
 WORK_SECONDS = 0.004  # mean, of a unit
 IDLE_CLOSE_SECONDS = 3.0  # the keepalive of the settings
-SMALL_BODY = 64  # bytes of an answer beyond its request's id
+BODY_PADDING_BYTES = 64  # of an answer, beyond its request's id
 FLAWS = ("error", "spoilt", "unsized", "surplus", "interim", "full", "half")
 
 
@@ -33,7 +33,8 @@
 
     def __init__(self, name: str, path: Path) -> None:
         """Record what comes to the server `name` at `path`."""
-        self.name, self.record = name, Writer(path)
+        self.name = name
+        self.record = Writer(path)
         self.behaviour = Behaviour()
         self.lateness = Lateness()
         self.chance = random.Random(name)
@@ -73,7 +74,8 @@
             self.node.record.add(self._record(self.headers, self.target, self.first_ns, 0, False))
 
     def _close_record(self) -> None:
-        row, self.open = self.open, None
+        row = self.open
+        self.open = None
         assert row is not None
         closed = NodeRecord(
             row.id,
@@ -132,7 +134,7 @@
             self._rest()
 
     def _write_answer(self, row: NodeRecord, flaw: str) -> None:
-        body = row.id.encode() + b"." * SMALL_BODY
+        body = row.id.encode() + b"." * BODY_PADDING_BYTES
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         match flaw:
             case "error":
@@ -149,7 +151,7 @@
             case "interim":
                 self.transport.write(b"HTTP/1.1 102 Processing\r\n\r\n" + whole)
             case "half":
-                self.transport.write(whole[:-SMALL_BODY])
+                self.transport.write(whole[:-BODY_PADDING_BYTES])
                 self.transport.abort()
             case _:
                 self.transport.write(whole)
--- a/umberlead/testing/soak/parts.py
+++ b/umberlead/testing/soak/parts.py
@@ -45,7 +45,7 @@
 
 
 class Fleet(Protocol):
-    """What troubles need of a run.
+    """What faults need of a run.
 
     Attributes:
         fronts: by their numbers.
--- a/umberlead/testing/soak/plan.py
+++ b/umberlead/testing/soak/plan.py
@@ -1,20 +1,22 @@
-"""What happens in a run of the soak test: troubles over intervals, drawn from a seed. Free of I/O."""
+"""What happens in a run of the soak test: faults over intervals, drawn from a seed. Free of I/O."""
 
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
-WARM_UP_SECONDS, QUIET_SECONDS = 2.0, 4.0  # without trouble, at the begin and the end of a run
-SHORTEST_SECONDS, LONGEST_SECONDS = 0.4, 3.0  # of a trouble
-GAP_SECONDS = (0.6, 1.6)  # between the begins of two bundles of troubles
-BUNDLES = (2, 3)  # troubles that overlap
-# In which a front that was told to end, killed or replaced gets no second such trouble.
+WARM_UP_SECONDS = 2.0  # without a fault, at the start of a run
+QUIET_SECONDS = 4.0  # without a fault, at its end
+MIN_FAULT_SECONDS = 0.4
+MAX_FAULT_SECONDS = 3.0
+GAP_SECONDS = (0.6, 1.6)  # between the begins of two bundles of faults
+BUNDLES = (2, 3)  # faults that overlap
+# In which a front that was told to end, killed or replaced gets no second such fault.
 FRONT_ENDS_SECONDS = 6.5
 
 
-class Trouble(Enum):
-    """One kind of trouble; the comment names what it befalls."""
+class Fault(Enum):
+    """One kind of fault; the comment names what it befalls."""
 
     FRONT_RESTART = "front_restart"  # a front: SIGTERM, then a new process
     FRONT_KILL = "front_kill"  # a front: SIGKILL, then a new process
@@ -48,28 +50,28 @@
 
 
 SIGNAL_SERIES = (
-    Trouble.FRONT_TERM_TWICE,
-    Trouble.FRONT_RELOAD_BURST,
-    Trouble.FRONT_RELOAD_AND_TERM,
-    Trouble.FRONT_TERM_EARLY,
-    Trouble.FRONT_TERM_BOTH,
-    Trouble.FRONT_HANDOVER_TWICE,
+    Fault.FRONT_TERM_TWICE,
+    Fault.FRONT_RELOAD_BURST,
+    Fault.FRONT_RELOAD_AND_TERM,
+    Fault.FRONT_TERM_EARLY,
+    Fault.FRONT_TERM_BOTH,
+    Fault.FRONT_HANDOVER_TWICE,
 )
-FRONT_ENDS = (Trouble.FRONT_RESTART, Trouble.FRONT_KILL, Trouble.FRONT_HANDOVER, *SIGNAL_SERIES)
+FRONT_ENDS = (Fault.FRONT_RESTART, Fault.FRONT_KILL, Fault.FRONT_HANDOVER, *SIGNAL_SERIES)
 AT_FRONTS = frozenset(
     (
         *FRONT_ENDS,
-        Trouble.CROWD,
-        Trouble.FRONT_RELOAD,
-        Trouble.FRONT_PAUSE,
-        Trouble.LISTS_SILENT,
-        Trouble.LISTS_RESET,
-        Trouble.ACCEPT_FAILS,
-        Trouble.CONNECT_FAILS,
-        Trouble.SHORT_IO,
-        Trouble.CONNECTIONS_BREAK,
-        Trouble.FOLDER_FAILS,
-        Trouble.CLOCK_STEP,
+        Fault.CROWD,
+        Fault.FRONT_RELOAD,
+        Fault.FRONT_PAUSE,
+        Fault.LISTS_SILENT,
+        Fault.LISTS_RESET,
+        Fault.ACCEPT_FAILS,
+        Fault.CONNECT_FAILS,
+        Fault.SHORT_IO,
+        Fault.CONNECTIONS_BREAK,
+        Fault.FOLDER_FAILS,
+        Fault.CLOCK_STEP,
     )
 )
 CLOCK_STEPS_SECONDS = (-3600.0, -30.0, -3.0, 3.0, 30.0, 3600.0)
@@ -77,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Interval:
-    """A trouble from `begin` to `end`, in seconds from the start of the load.
+    """A fault from `begin` to `end`, in seconds from the start of the load.
 
     Attributes:
         target: the number of the front or chunk server that it befalls.
@@ -86,7 +88,7 @@
 
     begin: float
     end: float
-    trouble: Trouble
+    fault: Fault
     target: int
     variant: float
 
@@ -100,22 +102,21 @@
     clients: int = 5
 
 
-def draw(
-    seed: int, seconds: float, size: Size, troubles: Sequence[Trouble] = tuple(Trouble)
-) -> list[Interval]:
-    """Return the troubles of a run by their begins: two or three overlap at any time."""
-    chance, at = random.Random(f"soak/{seed}"), WARM_UP_SECONDS
+def draw(seed: int, seconds: float, size: Size, faults: Sequence[Fault] = tuple(Fault)) -> list[Interval]:
+    """Return the faults of a run by their begins: two or three overlap at any time."""
+    chance = random.Random(f"soak/{seed}")
+    at = WARM_UP_SECONDS
     found: list[Interval] = []
     free_from: dict[tuple[bool, int], float] = {}
     while at < seconds - QUIET_SECONDS:
         for _ in range(chance.randint(*BUNDLES)):
-            made = _one(chance, at, size, troubles)
-            if made.trouble in FRONT_ENDS:
+            made = _one(chance, at, size, faults)
+            if made.fault in FRONT_ENDS:
                 key = (True, made.target)
                 if free_from.get(key, 0.0) > made.begin:
                     continue
                 free_from[key] = made.begin + FRONT_ENDS_SECONDS
-            elif made.trouble in (Trouble.NODE_DRAIN, Trouble.NODE_KILL, Trouble.NODE_BY_HAND):
+            elif made.fault in (Fault.NODE_DRAIN, Fault.NODE_KILL, Fault.NODE_BY_HAND):
                 key = (False, made.target)
                 if free_from.get(key, 0.0) > made.begin:
                     continue
@@ -125,9 +126,9 @@
     return sorted(found, key=lambda interval: interval.begin)
 
 
-def _one(chance: random.Random, at: float, size: Size, troubles: Sequence[Trouble]) -> Interval:
-    trouble = chance.choice(list(troubles))
-    targets = size.fronts if trouble in AT_FRONTS else size.nodes
+def _one(chance: random.Random, at: float, size: Size, faults: Sequence[Fault]) -> Interval:
+    fault = chance.choice(list(faults))
+    targets = size.fronts if fault in AT_FRONTS else size.nodes
     begin = at + chance.uniform(0.0, 0.4)
-    end = begin + chance.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
-    return Interval(begin, end, trouble, chance.randrange(targets), chance.random())
+    end = begin + chance.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+    return Interval(begin, end, fault, chance.randrange(targets), chance.random())
--- a/umberlead/testing/soak/processes.py
+++ b/umberlead/testing/soak/processes.py
@@ -24,12 +24,15 @@
         """Begin before the connection is made."""
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self._lateness = lateness
-        self.first_ns = self.late_ns = 0
+        self.first_ns = 0
+        self.late_ns = 0
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
     def _reset(self) -> None:
-        self.target, self.headers, self.body = b"", dict[bytes, bytes](), b""
+        self.target = b""
+        self.headers = dict[bytes, bytes]()
+        self.body = b""
         self.first_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -59,7 +62,10 @@
 
     def on_message_complete(self) -> None:
         """Hand the request over and begin the next."""
-        method, target, headers, body = self._parser.get_method(), self.target, self.headers, self.body
+        method = self._parser.get_method()
+        target = self.target
+        headers = self.headers
+        body = self.body
         first_ns = self.first_ns
         self._reset()
         self.request(method, target, headers, body, first_ns)
--- a/umberlead/testing/soak/results.py
+++ b/umberlead/testing/soak/results.py
@@ -14,7 +14,7 @@
 
 MAX_SHOWN_VIOLATIONS = 3
 TABLE_HEAD = (
-    "| seed | mix | program | seconds | requests | most frequent troubles | driver late, ms | verdict |\n"
+    "| seed | mix | program | seconds | requests | most frequent faults | driver late, ms | verdict |\n"
     "| --- | --- | --- | --- | --- | --- | --- | --- |"
 )
 
@@ -28,7 +28,7 @@
         mix: what was played.
         seconds: how long clients asked.
         requests: that clients sent.
-        troubles: how often each was played.
+        faults: how often each was played.
         late_ms: how far the driver was behind its own time at worst, a due SIGKILL included.
         judged: whether that left the verdict valid.
         violations: what was broken, as text.
@@ -39,7 +39,7 @@
     mix: str
     seconds: float
     requests: int
-    troubles: dict[str, int]
+    faults: dict[str, int]
     late_ms: int
     judged: bool
     violations: list[str]
@@ -71,7 +71,7 @@
         verdict.mix,
         seconds,
         sum(verdict.counts.values()),
-        dict(verdict.troubles),
+        dict(verdict.faults),
         round(late_seconds * 1000),
         verdict.is_judged(),
         [f"{violation.rule}: {violation.what}" for violation in verdict.violations],
@@ -84,8 +84,8 @@
     """Return the results as a table of Markdown."""
     lines = [TABLE_HEAD]
     for row in rows:
-        most = sorted(row.troubles.items(), key=lambda pair: -pair[1])[:MAX_SHOWN_VIOLATIONS]
-        troubles = ", ".join(f"{name} {count}" for name, count in most)
+        most = sorted(row.faults.items(), key=lambda pair: -pair[1])[:MAX_SHOWN_VIOLATIONS]
+        faults = ", ".join(f"{name} {count}" for name, count in most)
         found = sorted({violation.partition(":")[0] for violation in row.violations})
         verdict = f"{len(row.violations)} violations: {', '.join(found)}" if found else "all kept"
         if not row.judged:
@@ -96,7 +96,7 @@
             row.commit,
             f"{row.seconds:g}",
             row.requests,
-            f"{troubles} of {sum(row.troubles.values())}",
+            f"{faults} of {sum(row.faults.values())}",
             row.late_ms,
             verdict,
         )
--- a/umberlead/testing/soak/run.py
+++ b/umberlead/testing/soak/run.py
@@ -1,4 +1,4 @@
-"""One run of the soak test: the fleet is started, troubles are played, all is ended and judged."""
+"""One run of the soak test: the fleet is started, faults are played, all is ended and judged."""
 
 import asyncio
 import itertools
@@ -11,12 +11,13 @@
 from pathlib import Path
 
 from umberlead.testing.soak import fleet
+from umberlead.testing.soak.fault_player import FaultPlayer
 from umberlead.testing.soak.fleet import Child, FaultsFile, FrontProcess, StartError
 from umberlead.testing.soak.judge import Evidence, Violation, judge
 from umberlead.testing.soak.lists import BEAT_SECONDS, Agent, Entry
 from umberlead.testing.soak.mix import Mix, mix_of
 from umberlead.testing.soak.parts import Front, Server
-from umberlead.testing.soak.plan import Interval, Size, Trouble, draw
+from umberlead.testing.soak.plan import Fault, Interval, Size, draw
 from umberlead.testing.soak.processes import Lateness
 from umberlead.testing.soak.records import ClientRecord, Event, NodeRecord, Writer, read
 from umberlead.testing.soak.scenario import (
@@ -38,7 +39,6 @@
     limits,
     settings,
 )
-from umberlead.testing.soak.troubles import Troubles
 from umberlead.testing.soak.verdict import Verdict, last_counters, log_lines
 
 _numbers = itertools.count()  # of the runs in this process
@@ -47,14 +47,14 @@
 class Run:
     """A run in a folder of its own."""
 
-    def __init__(self, folder: Path, seed: int, seconds: float, mix: Mix, troubles: list[Interval]) -> None:
-        """Play `troubles` on a fleet of that mix; addresses differ between runs at the same time."""
+    def __init__(self, folder: Path, seed: int, seconds: float, mix: Mix, faults: list[Interval]) -> None:
+        """Play `faults` on a fleet of that mix; addresses differ between runs at the same time."""
         self.folder = folder
         self.seed = seed
         self.seconds = seconds
         self.mix = mix
         self.size = mix.size
-        self.troubles = troubles
+        self.intervals = faults
         self._late_seconds = 0.0
         self._kill_late_seconds = 0.0
         self._crowds: list[asyncio.subprocess.Process] = []
@@ -65,7 +65,7 @@
         self.first: Server  # that the run began with, in the first slot
         self.children: list[Child] = []
         self.violations: list[Violation] = []
-        self._troubles = Troubles(self)
+        self._player = FaultPlayer(self)
         self._step_ns = 0  # of the wall clock of all machines
         self.events = Writer(folder / "events.jsonl")
         self.library = fleet.build_faults(folder)
@@ -195,6 +195,10 @@
                 process.faults.faults.clock_step_ns = step_ns
                 process.faults.apply()
 
+    def forget_clock_step(self) -> None:
+        """Let lists and processes to come go by the right time; those that run keep their wall clock."""
+        self._step_ns = 0
+
     # Ends of fronts
 
     async def end_process(self, front: Front, process: FrontProcess) -> None:
@@ -301,7 +305,7 @@
             await self.start()
             watching = asyncio.get_running_loop().create_task(self._watch())
             clients = await self._clients()
-            await self._troubles.play(self.troubles, self.seconds)
+            await self._player.play(self.intervals, self.seconds)
             for client in clients:
                 if await client.wait() != 0:
                     self.broken("clients", "a process of clients failed")
@@ -343,7 +347,7 @@
         return Verdict(
             found,
             counts,
-            self._troubles.played,
+            self._player.played,
             counters,
             injected,
             self.mix.name,
@@ -352,17 +356,17 @@
         )
 
 
-def play(folder: Path, seed: int, seconds: float, size: Size, troubles: list[Trouble]) -> Verdict:
+def play(folder: Path, seed: int, seconds: float, size: Size, faults: list[Fault]) -> Verdict:
     """Play a run in `folder`, which is empty, and return its verdict.
 
     Args:
         folder: for records and logs.
-        seed: of the mix, the troubles and the clients.
+        seed: of the mix, the faults and the clients.
         seconds: how long clients ask.
         size: of a run of usual size.
-        troubles: those that may be drawn.
+        faults: those that may be drawn.
     """
-    mix = mix_of(seed, size, troubles)
-    run = Run(folder, seed, seconds, mix, draw(seed, seconds, mix.size, mix.troubles))
+    mix = mix_of(seed, size, faults)
+    run = Run(folder, seed, seconds, mix, draw(seed, seconds, mix.size, mix.faults))
     with asyncio.Runner() as runner:
         return runner.run(run.play_all())
--- a/umberlead/testing/soak/signals.py
+++ b/umberlead/testing/soak/signals.py
@@ -7,7 +7,7 @@
 
 from umberlead.testing.soak.fleet import FrontProcess
 from umberlead.testing.soak.parts import Fleet, Front
-from umberlead.testing.soak.plan import Interval, Trouble
+from umberlead.testing.soak.plan import Fault, Interval
 
 MAX_GAP_SECONDS = 0.05  # between two signals of a series
 BURST_COUNT = 6
@@ -20,18 +20,18 @@
     def __init__(self, fleet: Fleet) -> None:
         """Send them to the fronts of `fleet`."""
         self._fleet = fleet
-        self.plays: dict[Trouble, Callable[[Front, random.Random], Awaitable[None]]] = {
-            Trouble.FRONT_TERM_TWICE: self._term_twice,
-            Trouble.FRONT_RELOAD_BURST: self._reload_burst,
-            Trouble.FRONT_RELOAD_AND_TERM: self._reload_and_term,
-            Trouble.FRONT_TERM_EARLY: self._term_early,
-            Trouble.FRONT_TERM_BOTH: self._term_both,
-            Trouble.FRONT_HANDOVER_TWICE: self._handover_twice,
+        self.plays: dict[Fault, Callable[[Front, random.Random], Awaitable[None]]] = {
+            Fault.FRONT_TERM_TWICE: self._term_twice,
+            Fault.FRONT_RELOAD_BURST: self._reload_burst,
+            Fault.FRONT_RELOAD_AND_TERM: self._reload_and_term,
+            Fault.FRONT_TERM_EARLY: self._term_early,
+            Fault.FRONT_TERM_BOTH: self._term_both,
+            Fault.FRONT_HANDOVER_TWICE: self._handover_twice,
         }
 
     async def play(self, front: Front, interval: Interval) -> None:
         """Play the series that `interval` names; its gaps are drawn from the interval's variant."""
-        await self.plays[interval.trouble](front, random.Random(interval.variant))
+        await self.plays[interval.fault](front, random.Random(interval.variant))
 
     @staticmethod
     async def _gap(chance: random.Random) -> None:
--- a/umberlead/testing/soak/verdict.py
+++ b/umberlead/testing/soak/verdict.py
@@ -15,7 +15,7 @@
     Attributes:
         violations: what was broken.
         counts: how requests ended.
-        troubles: how often each trouble was played.
+        faults: how often each fault was played.
         counters: the fronts' counters, summed over their processes.
         injected: system calls that failed by order.
         mix: the mix that was played.
@@ -25,7 +25,7 @@
 
     violations: list[Violation]
     counts: Counter[str]
-    troubles: Counter[str]
+    faults: Counter[str]
     counters: Counter[str]
     injected: int = 0
     mix: str = ""
