--- a/umberlead/scheduling/scheduler.py
+++ b/umberlead/scheduling/scheduler.py
@@ -245,16 +245,14 @@
         if state is None:
             return False
         if selection.ready_at_us > self.now_us:
-            look_at_us = min(selection.ready_at_us, pending.objective_at_us)
-            self._schedule(look_at_us, self._request_dispatch, (shard,))
+            self._schedule(selection.ready_at_us, self._request_dispatch, (shard,))
             return False
         limited_us = self.rate_limits.wait_us(pending, self.now_us)
         entitled = self.priorities.is_entitled(pending, self.now_us)
         priority = self.priorities.priority(pending, entitled)
         if limited_us or self.priorities.yields(pending, state, priority, self.now_us):
             delay_us = limited_us or state.target_latency_us // DEFERRAL_DIVISOR_COUNT
-            tag_at_us = min(self.now_us + delay_us, pending.objective_at_us)
-            self._schedule(tag_at_us, self._tag_volume, shard, volume, queue.postpone())
+            self._schedule(self.now_us + delay_us, self._tag_volume, shard, volume, queue.postpone())
             return True
         if pending.attempt_count:
             self.retries.record_retry(self.now_us)
