Share the ids of open and recent requests between a front's processes

Ruled out: attempts of the front's own, as every request was answered and no connection broke.

Cause: RecentCallIds and OpenRequests are a process's own, while SO_REUSEPORT lets each process of the front receive any request.

Change: a table in the state folder, looked up and added to in one critical section that covers only the id's bucket and never waits. A process that is stopped in it makes ids of that bucket undecided (503 before anything is sent); one that is killed leaves it. What ended processes received stays reserved. Where the table can't be used, or a process of a build without it runs, requests that must not run twice are refused while a sibling runs. A descriptor more is reserved.

--- a/umberlead/daemon/assembly.py
+++ b/umberlead/daemon/assembly.py
@@ -86,7 +86,8 @@
         self.client_groups: list[ClientGroup] = []
         self.handlers: list[RequestHandler] = []
         self.admin_listeners: list[tuple[Listener, ClientGroup]] = []
-        self.shared_state = SharedState(config.state_folder)
+        self.shared_state = SharedState(config.state_folder, shares_call_ids=True)
+        self.lifecycle.open_requests.call_ids.shared = self.shared_state
         self.process_count = 1
         self.start_times = self._new_start_times()
         if self.shared_state.error:
--- a/umberlead/daemon/shared_state_sync.py
+++ b/umberlead/daemon/shared_state_sync.py
@@ -19,11 +19,13 @@
         self._limits = limits
         self.process_share = 0.0
         self.manual_drains: dict[str, int] = {}
+        self._call_ids_error = ""
 
     def sync(self) -> None:
         """Read the shared state and apply its changes."""
         components = self._components
         shared_state = components.shared_state
+        self._open_call_ids()
         process_count = 1 + shared_state.count_siblings()
         manual_drains = shared_state.drain_overrides()
         if process_count != components.process_count:
@@ -36,6 +38,14 @@
             components.lifecycle.set_process_share(process_share)
         self._apply_manual_drains(manual_drains)
 
+    def _open_call_ids(self) -> None:
+        """Open the table of call ids if that has not succeeded yet, and log each new error."""
+        call_ids = self._components.shared_state.call_ids
+        call_ids.open()
+        if call_ids.error and call_ids.error != self._call_ids_error:
+            self._components.log.warning("call_ids_not_shared", why=call_ids.error)
+        self._call_ids_error = call_ids.error
+
     def _apply_manual_drains(self, manual_drains: dict[str, int]) -> None:
         components = self._components
         drained = [name for name in manual_drains if name not in self.manual_drains]
--- a/umberlead/frontends/platform.py
+++ b/umberlead/frontends/platform.py
@@ -17,7 +17,7 @@
 from umberlead.net.http_message import HttpRequest
 from umberlead.net.server_connection import ServerConnection
 from umberlead.net.streaming import MAX_STREAM_BYTES
-from umberlead.requests.errors import DuplicateRequestError
+from umberlead.requests.errors import CallIdUndecidedError, DuplicateRequestError
 from umberlead.requests.lifecycle import RequestLifecycle
 from umberlead.requests.types import (
     Answer,
@@ -235,6 +235,10 @@
         except DuplicateRequestError as error:
             conn.send_response(409, (), f"{error}\n".encode())
             return
+        except CallIdUndecidedError as error:
+            self.lifecycle.count_early_rejection(incoming.class_name)
+            self.reply_rejected(conn, 0, str(error))
+            return
         if not in_flight.answered:
             conn.handler_context = in_flight
 
--- a/umberlead/handover/clock_anchors.py
+++ b/umberlead/handover/clock_anchors.py
@@ -11,11 +11,11 @@
 import re
 from pathlib import Path
 
+from umberlead.handover.boot_id import read_boot_id
+
 MAX_ANCHOR_COUNT = 16  # in the file; the oldest is dropped first
 MAX_FILE_BYTES = 4096
 ANCHOR_PATTERN = re.compile(rb"(-?[0-9]{1,18})\n")
-BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
-UNKNOWN_BOOT_ID = b"-"
 
 
 class ClockAnchors:
@@ -34,7 +34,7 @@
                 boot_id, _, lines = file.read(MAX_FILE_BYTES).partition(b"\n")
         except OSError:
             return []
-        if boot_id != self._boot_id():
+        if boot_id != read_boot_id():
             return []
         return [int(anchor) for anchor in ANCHOR_PATTERN.findall(lines)][-MAX_ANCHOR_COUNT:]
 
@@ -46,12 +46,5 @@
         lines = [b"%d\n" % anchor for anchor in anchors]
         temporary = self._path.with_name(f"{self._path.name}.{os.getpid()}")
         with contextlib.suppress(OSError):
-            temporary.write_bytes(self._boot_id() + b"\n" + b"".join(lines))
+            temporary.write_bytes(read_boot_id() + b"\n" + b"".join(lines))
             temporary.rename(self._path)
-
-    @staticmethod
-    def _boot_id() -> bytes:
-        try:
-            return BOOT_ID_PATH.read_bytes().strip()
-        except OSError:
-            return UNKNOWN_BOOT_ID
--- a/umberlead/handover/process_registry.py
+++ b/umberlead/handover/process_registry.py
@@ -12,10 +12,14 @@
 import secrets
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import NamedTuple
 
-# The contents of entries. They have the same length, so that overwriting needs no more disk space.
+# The contents of entries: a state, and the marker of a build that shares its call ids. All states have the
+# same length, so that overwriting needs no more disk space. Earlier builds read and write the state alone.
 ENTRY_RUNNING = b"standing"
 ENTRY_LEAVING = b"leaving "
+SHARES_CALL_IDS_MARKER = b" ids"
+ENTRY_BYTES = len(ENTRY_RUNNING) + len(SHARES_CALL_IDS_MARKER)
 # The weight of a process that shuts down, relative to a running one: its clients move to the other processes
 # with their next response.
 LEAVING_PROCESS_WEIGHT = 0.25
@@ -35,6 +39,25 @@
         written += os.pwrite(descriptor, data[written:], written)
 
 
+class RunningProcess(NamedTuple):
+    """What a running process tells its siblings with its entry.
+
+    Attributes:
+        weight: its part of the front's limits, relative to a process that does not shut down.
+        shares_call_ids: whether it shares its call ids.
+    """
+
+    weight: float
+    shares_call_ids: bool
+
+    @classmethod
+    def parse(cls, entry: bytes) -> "RunningProcess":
+        """Return what an entry tells; one that is not written yet counts as an entry of this build."""
+        is_leaving = entry.startswith(ENTRY_LEAVING)
+        shares_call_ids = not entry or entry.endswith(SHARES_CALL_IDS_MARKER)
+        return cls(LEAVING_PROCESS_WEIGHT if is_leaving else 1.0, shares_call_ids)
+
+
 class ProcessRegistry:
     """This process's entry in the folder, and its siblings' entries as of the latest refresh.
 
@@ -42,17 +65,25 @@
         folder: the folder of the entries.
         name: the name of this process's entry; "" while it has none.
         siblings: the names of the entries of the other running processes.
+        all_share_call_ids: whether all of them are of a build that shares its call ids.
         folder_mtime_ns: the folder's modification time at the latest refresh.
         taken_over: whether this process took over an existing entry.
     """
 
-    def __init__(self, folder: Path) -> None:
-        """Start without an entry; `register` creates one."""
+    def __init__(self, folder: Path, shares_call_ids: bool = False) -> None:
+        """Start without an entry; `register` creates one.
+
+        Args:
+            folder: the folder of the entries.
+            shares_call_ids: whether this process shares its call ids, which its entry then tells.
+        """
         self.folder = folder
         self.name = ""
         self.siblings: list[str] = []
+        self.all_share_call_ids = True
         self.folder_mtime_ns = 0
         self.taken_over = False
+        self._running_entry = ENTRY_RUNNING + (SHARES_CALL_IDS_MARKER if shares_call_ids else b"")
         self._weight = 1.0
         self._sibling_weights: list[float] = []
         self._descriptor = -1
@@ -84,7 +115,10 @@
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | lock_flags)
             with contextlib.suppress(OSError):  # an entry that can't be written counts as running
-                write_all(descriptor, ENTRY_RUNNING)
+                write_all(descriptor, self._running_entry)
+                os.ftruncate(
+                    descriptor, len(self._running_entry)
+                )  # an entry that is taken over may be longer
         except OSError:
             os.close(descriptor)
             raise
@@ -111,7 +145,7 @@
     def _create_spare_files(self, prepare: Callable[[str], None]) -> None:
         """Create spare entries up to their number, for processes that can't create one."""
         names = [name for name in os.listdir(self.folder) if name != self.name]
-        unlocked = [name for name in names if not self._weight_of(name)]
+        unlocked = [name for name in names if self._running_process(name) is None]
         for _ in range(SPARE_ENTRY_COUNT - len(unlocked)):
             name = secrets.token_hex(8)
             prepare(name)
@@ -126,14 +160,15 @@
         with contextlib.suppress(OSError):
             folder_mtime_ns = os.stat(self.folder).st_mtime_ns
             names = [name for name in os.listdir(self.folder) if name != self.name]
-            weights = {name: weight for name in names if (weight := self._weight_of(name))}
-            self.siblings = list(weights)
-            self._sibling_weights = list(weights.values())
+            running = {name: found for name in names if (found := self._running_process(name)) is not None}
+            self.siblings = list(running)
+            self.all_share_call_ids = all(process.shares_call_ids for process in running.values())
+            self._sibling_weights = [process.weight for process in running.values()]
             self.folder_mtime_ns = folder_mtime_ns
         return len(self.siblings)
 
-    def _weight_of(self, name: str) -> float:
-        """Return the weight of the process that has locked an entry; 0 if it is not locked.
+    def _running_process(self, name: str) -> RunningProcess | None:
+        """Return what an entry tells of the process that has locked it; None if it is not locked.
 
         Raises:
             OSError: the entry can't be read now.
@@ -143,11 +178,10 @@
                 try:
                     fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
                 except BlockingIOError:
-                    is_leaving = file.read(len(ENTRY_LEAVING)) == ENTRY_LEAVING
-                    return LEAVING_PROCESS_WEIGHT if is_leaving else 1.0
+                    return RunningProcess.parse(file.read(ENTRY_BYTES))
         except FileNotFoundError:
             pass
-        return 0.0
+        return None
 
     def has_changed(self) -> bool:
         """Return whether entries were added or removed since the latest refresh; kills don't show here."""
--- a/umberlead/handover/shared_state.py
+++ b/umberlead/handover/shared_state.py
@@ -1,9 +1,9 @@
 """State that the processes of a front share, stored as files in a folder under $TMPDIR.
 
-It consists of the running processes, the file descriptors that each claims, the endpoints that operators
-drained, clock offsets, and whether an agent serves the endpoint lists. A front writes no other files but list
-snapshots. While the folder is not writable, its contents stay valid, and what this process could not write is
-retried with each refresh.
+It consists of the running processes, the file descriptors that each claims, the call ids of open and recent
+requests, the endpoints that operators drained, clock offsets, and whether an agent serves the endpoint lists.
+A front writes no other files but list snapshots. While the folder is not writable, its contents stay valid,
+and what this process could not write is retried with each refresh.
 """
 
 import contextlib
@@ -17,6 +17,8 @@
 from umberlead.handover.drain_overrides import DrainOverrides
 from umberlead.handover.process_claims import DescriptorClaim, parse_claim
 from umberlead.handover.process_registry import FILE_MODE, PERMANENT_ERRNOS, ProcessRegistry, write_all
+from umberlead.handover.shared_call_ids import SharedCallIds
+from umberlead.requests.call_ids import Reservation
 
 CLAIM_BYTES = 256  # the constant size of a claim file, so that its disk space stays allocated
 DISK_ERRNOS = frozenset(
@@ -38,18 +40,27 @@
         root: the folder; None if there is none, in which case this process counts as the only one.
         error: why no state can be shared, or why registration has failed so far; "" without an error.
         clock_anchors: the stored offsets of the wall clock.
+        call_ids: the call ids that the processes have reserved.
     """
 
-    def __init__(self, root: Path | None) -> None:
-        """Register this process; if that fails, retry with each refresh unless it can never succeed."""
+    def __init__(self, root: Path | None, shares_call_ids: bool = False) -> None:
+        """Register this process; if that fails, retry with each refresh unless it can never succeed.
+
+        Args:
+            root: the folder; None to share no state.
+            shares_call_ids: whether this process reserves the call ids of its requests here.
+        """
         self.error = "" if root is None else self._make_folders(root)
         self.root = None if self.error else root
         self._published_text = ""
         self._has_published = False
         self._is_deregistered = False
         root = self.root
-        self._registry = None if root is None else ProcessRegistry(root / REGISTRY_FOLDER)
+        self._registry = None if root is None else ProcessRegistry(root / REGISTRY_FOLDER, shares_call_ids)
         self.clock_anchors = ClockAnchors(None if root is None else root / CLOCK_FILE)
+        self.call_ids = SharedCallIds(root)
+        if shares_call_ids:
+            self.call_ids.open()
         self._overrides = DrainOverrides(None if root is None else root / DRAINS_FOLDER)
         if self._registry is not None:
             self.count_siblings()
@@ -173,6 +184,20 @@
         finally:
             os.close(descriptor)
 
+    def reserve_call_id(self, call_id: bytes, open_for_us: int) -> Reservation:
+        """Reserve the call id of a request that is open for at most `open_for_us` microseconds.
+
+        If the ids can't be shared, it is reserved while this process has no siblings. A sibling of an earlier
+        build shares none.
+        """
+        reservation = self.call_ids.reserve(call_id, open_for_us)
+        registry = self._registry
+        if registry is None or not registry.siblings:
+            return Reservation.RESERVED if reservation is Reservation.UNAVAILABLE else reservation
+        if reservation is Reservation.RESERVED and not registry.all_share_call_ids:
+            return Reservation.UNAVAILABLE
+        return reservation
+
     def announce_leaving(self) -> None:
         """Tell siblings that this process shuts down."""
         if self._registry is not None:
@@ -207,6 +232,7 @@
     def deregister(self) -> None:
         """Release the entry and the claim for good, as the process ends."""
         self._is_deregistered = True
+        self.call_ids.close()
         registry = self._registry
         if registry is None or not registry.name:
             return
--- a/umberlead/requests/lifecycle.py
+++ b/umberlead/requests/lifecycle.py
@@ -11,7 +11,12 @@
 from umberlead.common.counters import Counters
 from umberlead.common.timer_wheel import TimerWheel
 from umberlead.requests.decision_loop import DecisionLoop, RequestAction
-from umberlead.requests.errors import DuplicateRequestError, SecondOutcomeError, UnknownClassOrPlanError
+from umberlead.requests.errors import (
+    CallIdUndecidedError,
+    DuplicateRequestError,
+    SecondOutcomeError,
+    UnknownClassOrPlanError,
+)
 from umberlead.requests.invariants import InvariantChecker
 from umberlead.requests.open_requests import OpenRequests
 from umberlead.requests.send_guard import Denial, SendGuard
@@ -121,14 +126,18 @@
         Raises:
             UnknownClassOrPlanError: the settings do not define its class or plan.
             DuplicateRequestError: another request that is open or recent has its call id.
+            CallIdUndecidedError: it can't be told now whether another process has its call id.
         """
         if incoming.class_name not in self.classes or incoming.plan not in self.plans:
             raise UnknownClassOrPlanError(f"unknown class or plan: {incoming.class_name}, {incoming.plan}")
         try:
-            request = self.open_requests.add(incoming, on_answer)
+            request = self.open_requests.add(incoming, on_answer, self._is_idempotent(incoming))
         except DuplicateRequestError:
             self.counters.add("requests_duplicate")
             raise
+        except CallIdUndecidedError:
+            self.counters.add("requests_call_id_undecided")
+            raise
         self.counters.add("requests_taken")
         self.unanswered_count += 1
         rejection = self._rejection_of(request)
@@ -253,8 +262,10 @@
 
     def is_idempotent(self, request: InFlightRequest) -> bool:
         """Return whether a request's class may be repeated even after an attempt has run."""
-        repeatability = self.classes[request.incoming.class_name].repeatability
-        return repeatability is Repeatability.IDEMPOTENT
+        return self._is_idempotent(request.incoming)
+
+    def _is_idempotent(self, incoming: IncomingRequest) -> bool:
+        return self.classes[incoming.class_name].repeatability is Repeatability.IDEMPOTENT
 
     def accepts_new_requests(self, endpoint: str) -> bool:
         """Return whether the current endpoint list and operators let an endpoint get new requests."""
--- a/umberlead/requests/open_requests.py
+++ b/umberlead/requests/open_requests.py
@@ -22,15 +22,24 @@
         self._by_call_id: dict[bytes, InFlightRequest] = {}
         self._added_count = 0
 
-    def add(self, incoming: IncomingRequest, on_answer: Callable[[Answer], None]) -> InFlightRequest:
+    def add(
+        self, incoming: IncomingRequest, on_answer: Callable[[Answer], None], is_idempotent: bool
+    ) -> InFlightRequest:
         """Open a request.
 
+        Args:
+            incoming: the request.
+            on_answer: called once, with its answer.
+            is_idempotent: whether it does no harm if the request runs twice.
+
         Raises:
             DuplicateRequestError: another request that is open or recent has its call id.
+            CallIdUndecidedError: it can't be told now whether another process has its call id.
         """
         call_id = incoming.call_id
         if call_id:
-            self.call_ids.reserve(call_id, call_id in self._by_call_id)
+            is_open = call_id in self._by_call_id
+            self.call_ids.reserve(call_id, is_open, incoming.deadline_us, is_idempotent)
         request = InFlightRequest(incoming, on_answer, accepted_us=self._clock())
         if call_id:
             self._by_call_id[call_id] = request
--- a/umberlead/resource_limits.py
+++ b/umberlead/resource_limits.py
@@ -21,9 +21,9 @@
 CALL_ID_BYTES = 160  # approximate memory for a remembered call id
 LOG_LINE_BYTES = 512  # approximate memory for a queued log line
 # Descriptors that every front opens after the measurement: its listener and the admin API's (2), discovery's
-# old and new stream (2), the lock of the shared state (1), files and folders being read (2), libuv's own (1),
-# name resolution (2), and 1 to spare.
-RESERVED_DESCRIPTORS_COUNT = 11
+# old and new stream (2), the lock of the shared state (1), the table of call ids (1), files and folders being
+# read (2), libuv's own (1), name resolution (2), and 1 to spare.
+RESERVED_DESCRIPTORS_COUNT = 12
 MIN_ENDPOINT_CONNECTIONS_COUNT = 2
 # Client connections may use a third of all descriptors, and each may have an open request. The limit of open
 # requests is lower, so that connections remain for requests of a higher priority weight than the queued ones.
