Write a deduplicated repeat only within its window, also if it is late

Cause: RetryPolicy.may_attempt compares the window with the time of the decision. SendGuard.may_write, asked when the connection is up, looks at the endpoint, the deadline and the client alone. Nothing allowed for the 0.15 s by which a front may be held up between its clock and its write.

Change: the guard knows since when a request may have run and asks at the decision and before the first byte; what is checked ends 0.15 s before the window. A repeat of which some has not reached the endpoint's machine by then, in the front's buffer or unacknowledged in the socket's, is broken off. The run-time check NEVER_TWICE keeps its own record of it.

A test bound is stricter: test_request_with_idempotency_key_is_retried_only_ within_its_window wants the last retry at 0.85 s of 1 s, not at 1 s.

--- a/tests/test_dialing.py
+++ b/tests/test_dialing.py
@@ -18,6 +18,7 @@
 from umberlead.net.endpoint_pool import EndpointPool
 from umberlead.net.endpoint_protocol import OutgoingRequest
 from umberlead.scheduling.events import AttemptResult
+from umberlead.scheduling.token_bucket import NEVER
 
 CONNECT_TIMEOUT_US = 250_000
 
@@ -31,6 +32,9 @@
     def attempt_ended(self, attempt: Any, result: AttemptResult, reply: Any = None) -> None:
         self.results.append((attempt.number, result))
 
+    def delayed_write_ended(self, attempt: Any) -> None:
+        attempt.write_delayed = False
+
 
 class FakeTransport(asyncio.Transport):
     """A transport that behaves as uvloop's does when the dial task is cancelled: it is aborted, and
@@ -120,6 +124,8 @@
         misdirected=False,
         started_us=event_loop.now_us,
         deadline_us=9_000_000,
+        write_until_us=NEVER,
+        write_delayed=False,
         transport_state=None,
         request=SimpleNamespace(incoming=incoming_request, answered=False),
     )
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -17,6 +17,7 @@
 from umberlead.scheduling.actions import Action, Fail, Reject, Send
 from umberlead.scheduling.events import AttemptResult, Event, TimerExpired
 from umberlead.scheduling.settings import Plan, Repeatability, RequestClass, Settings
+from umberlead.scheduling.token_bucket import NEVER
 
 SETTINGS = Settings(
     classes=(
@@ -136,7 +137,7 @@
             )
             transport.is_closing.return_value = False
             connection = EndpointConnection(pool, ("h", 1))
-            connection.attempt = mock.Mock(deadline_us=0, started_us=0)
+            connection.attempt = mock.Mock(deadline_us=0, started_us=0, write_until_us=NEVER)
             connection.attempt.request.incoming.payload = OutgoingRequest(b"PUT", b"/x", [], b"body")
             transport.writelines.side_effect = lambda _, c=connection, s=steps: s and c.pause_writing()
             connection.connection_made(transport)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -66,7 +66,8 @@
 
 
 def test_request_with_idempotency_key_is_retried_only_within_its_window() -> None:
-    for wait_us, expected in ((999_999, ["w"]), (1_000_000, [])):
+    """A front may be held up for 0.15 s until the retry is written: it is not retried in the last 0.15 s."""
+    for wait_us, expected in ((849_999, ["w"]), (850_000, [])):
         scheduler = new_scheduler(
             T0,
             up_endpoint(),
--- a/umberlead/net/endpoint_connection.py
+++ b/umberlead/net/endpoint_connection.py
@@ -22,6 +22,7 @@
 from umberlead.net.streaming import SERVER_PAUSE_TIMEOUT_US, ResponseStream, is_long_response
 from umberlead.requests.types import Attempt, Reply
 from umberlead.scheduling.events import AttemptResult
+from umberlead.scheduling.token_bucket import NEVER
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -136,11 +137,23 @@
         transport.writelines(encode_request(request, self.pool.host_line, budget_us))
         if not self.write_paused and not transport.is_closing():
             self._mark_written()
+        if attempt.write_until_us != NEVER:
+            self.pool.wheel.call_at(int(attempt.write_until_us), self._end_late_write, attempt)
 
     def _mark_written(self) -> None:
         self.written = True
         self.pool.counters.add("attempts_written")
 
+    def _end_late_write(self, attempt: Attempt) -> None:
+        """End an attempt of which some has not reached the endpoint's machine in time: the rest would run."""
+        if self.attempt is not attempt or self.attempt_cancelled or not self.is_open():
+            return
+        if self.response.started or not self._socket_state().unsent_bytes():
+            return
+        self.pool.counters.add("attempts_written_too_late")
+        self._socket_state().reset_on_close()  # what the socket's send buffer holds is dropped
+        self.cancel_attempt(AttemptResult.TIMEOUT)
+
     def pause_writing(self) -> None:
         """Record that the kernel has not accepted all of the request."""
         self.write_paused = True
--- a/umberlead/requests/invariants.py
+++ b/umberlead/requests/invariants.py
@@ -15,7 +15,7 @@
 from umberlead.common.counters import Counters
 from umberlead.requests.types import RESULTS_WITHOUT_EFFECT, Attempt, InFlightRequest
 from umberlead.scheduling.events import AttemptResult, Endpoint, EndpointList, EndpointStatus
-from umberlead.scheduling.settings import Repeatability, Settings
+from umberlead.scheduling.settings import Repeatability, RequestClass, Settings
 from umberlead.scheduling.slow_start import capacity_growth_factor
 
 CLIENT_LEFT_GRACE_US = 100_000  # time after a client disconnected in which an attempt may still begin
@@ -23,6 +23,7 @@
 ENDPOINT_CHANGE_GRACE_US = 1_000_000
 # Allowed excess of the time budget sent to an endpoint over the time until the request's deadline.
 TIME_BUDGET_SLACK_US = 150_000
+DEDUPLICATION_SLACK_US = 50_000  # allowed excess of a repeat's first byte over the deduplication window
 # Random variation weighs more in smaller allowances, so their bound is wider.
 SMALL_ALLOWANCE_REQUESTS = 30.0
 # For small allowances: the bound exceeds the allowance by so many times its square root, plus this number.
@@ -77,6 +78,8 @@
     written_count: int = 0
     in_flight: Attempt | None = None
     may_have_run: bool = False
+    written_us: int = 0  # first byte of the latest attempt
+    may_have_run_since_us: int = 0  # first byte of the first attempt that may have run
 
 
 class InvariantChecker:
@@ -97,7 +100,7 @@
         self._clock = clock
         self._counters = counters
         self._log = log
-        self._repeatability = {cls.name: cls.repeatability for cls in settings.classes}
+        self._classes = {cls.name: cls for cls in settings.classes}
         self._endpoints: dict[str, _EndpointRecord] = {}
         self._requests: dict[str, _RequestRecord] = {}
         self._forget_at_us = 0
@@ -170,7 +173,7 @@
         now_us = self._clock()
         record = self._requests.setdefault(request.id, _RequestRecord())
         log_fields = {**_log_fields_of(request), "node": attempt.endpoint}
-        self._check_repetition(attempt, record, log_fields)
+        self._check_repetition(attempt, record, now_us, log_fields)
         left_for_us = now_us - request.client_disconnected_us if request.client_disconnected_us else 0
         is_in_grace = left_for_us <= CLIENT_LEFT_GRACE_US
         self.check(is_in_grace, Invariant.CLIENT_WAITS, late_us=left_for_us, **log_fields)
@@ -178,18 +181,29 @@
         over_us = budget_us - max(request.incoming.deadline_us - now_us, 0)
         self.check(over_us <= TIME_BUDGET_SLACK_US, Invariant.TIME_BUDGET_SENT, over_us=over_us, **log_fields)
         record.in_flight = attempt
+        record.written_us = now_us
         self._check_in_service(attempt.endpoint, now_us, log_fields)
         self._check_slow_start(attempt.endpoint, request.incoming.units, now_us, log_fields)
 
-    def _check_repetition(self, attempt: Attempt, record: _RequestRecord, log_fields: dict[str, str]) -> None:
+    def _check_repetition(
+        self, attempt: Attempt, record: _RequestRecord, now_us: int, log_fields: dict[str, str]
+    ) -> None:
         is_redialled = record.in_flight is attempt  # its connection broke before all of it was written
         self.check(is_redialled or record.in_flight is None, Invariant.ONE_IN_FLIGHT, **log_fields)
         record.written_count += not is_redialled
         is_bounded = record.written_count <= self._settings.max_attempts
         self.check(is_bounded, Invariant.ATTEMPTS_BOUNDED, **log_fields)
-        repeatability = self._repeatability[attempt.request.incoming.class_name]
-        is_repeated = record.may_have_run and repeatability is Repeatability.AT_MOST_ONCE
-        self.check(not is_repeated, Invariant.NEVER_TWICE, **log_fields)
+        request_class = self._classes[attempt.request.incoming.class_name]
+        may_run_twice = record.may_have_run and self._runs_again(request_class, record, now_us)
+        self.check(not may_run_twice, Invariant.NEVER_TWICE, **log_fields)
+
+    @staticmethod
+    def _runs_again(request_class: RequestClass, record: _RequestRecord, now_us: int) -> bool:
+        """Return whether a repeat that is written now may run, and does harm."""
+        if request_class.repeatability is Repeatability.IDEMPOTENT_BY_KEY:
+            window_us = request_class.deduplication_window_us + DEDUPLICATION_SLACK_US
+            return now_us - record.may_have_run_since_us > window_us
+        return request_class.repeatability is Repeatability.AT_MOST_ONCE
 
     def _check_in_service(self, endpoint: str, now_us: int, log_fields: dict[str, str]) -> None:
         record = self._endpoints.setdefault(endpoint, _EndpointRecord())
@@ -221,7 +235,9 @@
         record = self._requests.get(attempt.request.id)
         if record is not None and record.in_flight is attempt:
             record.in_flight = None
-            record.may_have_run |= result not in RESULTS_WITHOUT_EFFECT
+            if result not in RESULTS_WITHOUT_EFFECT and not record.may_have_run:
+                record.may_have_run = True
+                record.may_have_run_since_us = record.written_us
 
     # Requests
 
--- a/umberlead/requests/lifecycle.py
+++ b/umberlead/requests/lifecycle.py
@@ -295,7 +295,9 @@
         request.attempt = None
         request.last_result = result
         self.invariants.record_outcome(attempt, result)
-        request.may_have_run |= result not in RESULTS_WITHOUT_EFFECT
+        if result not in RESULTS_WITHOUT_EFFECT and not request.may_have_run:
+            request.may_have_run = True
+            request.may_have_run_since_us = attempt.started_us
         self.counters.add(f"attempts_{result.value}")
         elapsed_us = max(self.clock() - attempt.started_us, 0)
         if self.hooks:
@@ -347,7 +349,15 @@
             return
         is_last = request.attempt_count >= self.settings.max_attempts
         must_not_repeat = is_last or not self.is_idempotent(request)
-        attempt = Attempt(request, number, endpoint, now_us, request.incoming.deadline_us, must_not_repeat)
+        attempt = Attempt(
+            request,
+            number,
+            endpoint,
+            now_us,
+            request.incoming.deadline_us,
+            self.guard.repeat_until_us(request),
+            must_not_repeat,
+        )
         request.attempt = attempt
         self.counters.add("attempts_sent")
         if number and request.last_result is not None:
--- a/umberlead/requests/send_guard.py
+++ b/umberlead/requests/send_guard.py
@@ -2,15 +2,17 @@
 
 It enforces the rules that hold whatever the scheduler decides: a request has one attempt at a time, and none
 after its answer, its deadline or its client's disconnect. A request that must run at most once is not
-repeated after an attempt that may have run. An endpoint that is draining or gone gets nothing new. No I/O:
-the state of clients comes from a callback.
+repeated after an attempt that may have run, and one that endpoints deduplicate only while they do. An
+endpoint that is draining or gone gets nothing new. No I/O: the state of clients comes from a callback.
 """
 
 from collections.abc import Callable
 from enum import Enum
 
 from umberlead.requests.types import Attempt, InFlightRequest
+from umberlead.scheduling.retries import repeat_window_us
 from umberlead.scheduling.settings import Repeatability, RequestClass
+from umberlead.scheduling.token_bucket import NEVER
 
 
 class Denial(Enum):
@@ -22,7 +24,7 @@
     IN_FLIGHT = "in_flight"
     ATTEMPTS_USED = "attempts_used"
     OUT_OF_TIME = "out_of_time"
-    MAY_HAVE_RUN = "may_have_run"
+    MAY_HAVE_RUN = "may_have_run"  # and a repeat would run, or no longer be dropped
     ENDPOINT_OUT_OF_SERVICE = "node_out_of_service"
 
 
@@ -61,14 +63,20 @@
             or self._classes[request.incoming.class_name].repeatability is Repeatability.IDEMPOTENT
         )
 
+    def repeat_until_us(self, request: InFlightRequest) -> float:
+        """Return until when a further attempt of `request` may be written; NEVER: without a limit."""
+        if not request.may_have_run:
+            return NEVER
+        window_us = repeat_window_us(self._classes[request.incoming.class_name])
+        return request.may_have_run_since_us + window_us
+
     def may_begin(self, request: InFlightRequest) -> Denial | None:
         """Return why the next attempt of `request` may not begin now, or None if it may."""
-        unsafe = self._classes[request.incoming.class_name].repeatability is Repeatability.AT_MOST_ONCE
         if request.attempt is not None:
             return Denial.IN_FLIGHT
         if request.attempt_count >= self._max_attempts:
             return Denial.ATTEMPTS_USED
-        if request.may_have_run and unsafe:
+        if self._clock() >= self.repeat_until_us(request):
             return Denial.MAY_HAVE_RUN
         return self._request_denial(request)
 
@@ -76,6 +84,8 @@
         """Return why an attempt whose connection is established may not be written now, or None if it may."""
         if not self._accepts_new_requests(attempt.endpoint):
             return Denial.ENDPOINT_OUT_OF_SERVICE
+        if self._clock() >= attempt.write_until_us:
+            return Denial.MAY_HAVE_RUN
         return self._request_denial(attempt.request)
 
     def _request_denial(self, request: InFlightRequest) -> Denial | None:
--- a/umberlead/requests/types.py
+++ b/umberlead/requests/types.py
@@ -11,6 +11,7 @@
 
 from umberlead.common.timer_wheel import Timer
 from umberlead.scheduling.events import AttemptResult, EndpointList, Outcome, Request
+from umberlead.scheduling.token_bucket import NEVER
 
 # Results that prove that an attempt never ran.
 RESULTS_WITHOUT_EFFECT = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
@@ -130,6 +131,7 @@
         attempt_count: the number of attempts begun.
         attempt: the attempt in flight, if any.
         may_have_run: whether an attempt may have run.
+        may_have_run_since_us: when the first attempt that may have run began; 0 without one.
         last_result: the result of its latest attempt.
         answered: whether no answer is owed any longer.
         annotations: the annotations of plug-ins, by name.
@@ -147,6 +149,7 @@
     attempt_count: int = 0
     attempt: "Attempt | None" = None
     may_have_run: bool = False
+    may_have_run_since_us: int = 0
     last_result: AttemptResult | None = None
     answered: bool = False
     annotations: dict[str, str] = field(default_factory=dict)
@@ -166,6 +169,7 @@
         endpoint: the name of the endpoint that it is sent to.
         started_us: when it began.
         deadline_us: when it times out.
+        write_until_us: when the last byte of it must be written; NEVER without a limit of its own.
         must_not_repeat: whether the request can't be attempted again once this attempt may have run.
         reconnected: whether its connection broke before the request was written, and another was opened.
         misdirected: whether the endpoint rejected it for a reason that a retry there would not change.
@@ -177,6 +181,7 @@
     endpoint: str
     started_us: int
     deadline_us: int
+    write_until_us: float = NEVER
     must_not_repeat: bool = False
     reconnected: bool = False
     misdirected: bool = False
--- a/umberlead/scheduling/retries.py
+++ b/umberlead/scheduling/retries.py
@@ -6,13 +6,20 @@
 from umberlead.scheduling.settings import Repeatability, RequestClass, Settings
 from umberlead.scheduling.token_bucket import NEVER
 
+# The last byte of a repeat may be written this long after its time was checked: the front may be held up.
+WRITE_DELAY_ALLOWANCE_US = 150_000
+
 
 def repeat_window_us(request_class: RequestClass) -> float:
-    """Return how long after an attempt that may have run the request can be sent again; NEVER: no limit."""
+    """Return how long after an attempt that may have run the request can be sent again, in microseconds.
+
+    NEVER: without a limit. A repeat whose write is checked within this time is written within the
+    deduplication window.
+    """
     if request_class.repeatability is Repeatability.IDEMPOTENT:
         return NEVER
     if request_class.repeatability is Repeatability.IDEMPOTENT_BY_KEY:
-        return request_class.deduplication_window_us
+        return max(request_class.deduplication_window_us - WRITE_DELAY_ALLOWANCE_US, 0)
     return 0
 
 
