--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -183,7 +183,7 @@
     def _open_state(front: FrontProcess) -> dict[str, Any]:
         engine = front.lifecycle
         open_state = {
-            "active": engine.unanswered_count,
+            "active": engine.answer_counts.unanswered_count,
             "tickets": len(engine.open_requests),
             "items": list(engine.scheduler.requests),
             "held": sum(group.buffered_bytes for group in front.client_groups),
--- a/umberlead/frontends/admin_api.py
+++ b/umberlead/frontends/admin_api.py
@@ -73,14 +73,14 @@
 def format_counters(lifecycle: RequestLifecycle) -> bytes:
     """Return the counters since the process's start and the current gauges, as lines in statsd's format."""
     lines = [
-        f"svc.{counter_name}.{quote(name, safe='')}:{lifecycle.answer_counts[kind, name]}|c"
+        f"svc.{counter_name}.{quote(name, safe='')}:{lifecycle.answer_counts.by_kind_and_class[kind, name]}|c"
         for name in lifecycle.classes
         for kind, counter_name in COUNTER_NAMES_BY_KIND
     ]
     endpoint_count, unavailable_count = lifecycle.endpoint_counts()
     lines += [
         f"svc.tries:{lifecycle.counters['attempts_written']}|c",
-        f"svc.active:{lifecycle.unanswered_count}|g",
+        f"svc.active:{lifecycle.answer_counts.unanswered_count}|g",
         f"svc.pool_size:{endpoint_count}|g",
         f"svc.pool_ejected:{unavailable_count}|g",
     ]
--- a/umberlead/frontends/platform.py
+++ b/umberlead/frontends/platform.py
@@ -236,7 +236,7 @@
             conn.send_response(409, (), f"{error}\n".encode())
             return
         except CallIdUndecidedError as error:
-            self.lifecycle.count_early_rejection(incoming.class_name)
+            self.lifecycle.answer_counts.record_early_rejection(incoming.class_name)
             self.reply_rejected(conn, 0, str(error))
             return
         if not in_flight.answered:
@@ -269,7 +269,7 @@
 
     def _stream_ended(self, conn: ServerConnection, streamed: StreamedAnswer, complete: bool) -> None:
         conn.handler_context = None
-        self.lifecycle.count_streamed_answer(streamed.class_name, complete)
+        self.lifecycle.answer_counts.record_streamed_answer(streamed.class_name, complete)
 
     def reply_rejected(self, conn: ServerConnection, retry_after_us: int, reason: str) -> None:
         """Send a 503 response that says when the client may retry.
@@ -290,13 +290,13 @@
         if isinstance(context, InFlightRequest):
             self.lifecycle.on_client_disconnected(context)
         elif isinstance(context, StreamedAnswer):
-            self.lifecycle.count_streamed_answer(context.class_name, None)
+            self.lifecycle.answer_counts.record_streamed_answer(context.class_name, None)
 
     def reject(self, conn: ServerConnection, status: int, reason: str) -> None:
         """Answer a request that is malformed, or that the connection rejects for another reason."""
         if status == 503:
             class_name = class_name_of(conn.rejected_target, self.lifecycle.classes)
-            self.lifecycle.count_early_rejection(class_name)
+            self.lifecycle.answer_counts.record_early_rejection(class_name)
             self.reply_rejected(conn, 0, reason)
         else:
             conn.send_response(status, (), f"{reason}\n".encode())
--- a/umberlead/requests/lifecycle.py
+++ b/umberlead/requests/lifecycle.py
@@ -10,6 +10,7 @@
 
 from umberlead.common.counters import Counters
 from umberlead.common.timer_wheel import TimerWheel
+from umberlead.requests.answer_counts import AnswerCounts
 from umberlead.requests.decision_loop import DecisionLoop, RequestAction
 from umberlead.requests.errors import (
     CallIdUndecidedError,
@@ -64,8 +65,7 @@
         decision_observer: called with endpoint lists and attempts; may change the lists.
         decision_loop: passes events to the scheduler.
         trace_log: logs a line for each attempt.
-        unanswered_count: number of requests accepted and not yet answered.
-        answer_counts: number of answers by kind and class.
+        answer_counts: how many requests are unanswered, and answers by kind and class.
         stopping: whether the process is shutting down, so that new requests are rejected.
         guard: checks each attempt before it is sent.
         invariants: run-time checks.
@@ -109,9 +109,8 @@
         self.transport: Transport | None = None
         self.decision_observer: DecisionObserver | None = None
         self.trace_log: Callable[..., None] | None = None
-        self.unanswered_count = 0
         self.stopping = False
-        self.answer_counts = {(kind, cls.name): 0 for kind in AnswerKind for cls in settings.classes}
+        self.answer_counts = AnswerCounts(self.classes)
         self.guard = SendGuard(
             self.classes, settings.max_attempts, clock, self.accepts_new_requests, self.is_client_connected
         )
@@ -142,7 +141,7 @@
             self.counters.add("requests_call_id_undecided")
             raise
         self.counters.add("requests_taken")
-        self.unanswered_count += 1
+        self.answer_counts.record_accepted()
         rejection = self._rejection_of(request)
         if rejection is not None:
             answer = Answer(
@@ -173,7 +172,7 @@
             return
         request.answered = True
         request.client_disconnected_us = request.client_disconnected_us or self.clock()
-        self.unanswered_count -= 1
+        self.answer_counts.record_disconnected()
         self.counters.add("clients_gone")
         if request.attempt is not None and self.transport is not None:
             self.transport.cancel_if_unsent(request.attempt)
@@ -215,23 +214,6 @@
         kind = AnswerKind.REJECTED if self.guard.may_repeat(request) else AnswerKind.FAILED
         self._answer(request, Answer(kind, None, 0, request.may_have_run, "its client left"))
 
-    def count_early_rejection(self, class_name: str) -> None:
-        """Count the rejection of a request that a frontend rejected without passing it to `accept`."""
-        if class_name in self.classes:
-            self.answer_counts[AnswerKind.REJECTED, class_name] += 1
-
-    def count_streamed_answer(self, class_name: str, complete: bool | None) -> None:
-        """Count a streamed answer at its end.
-
-        Args:
-            class_name: the request's class.
-            complete: whether the whole answer was forwarded; None if the client disconnected.
-        """
-        if complete is None:
-            self.unanswered_count -= 1
-        else:
-            self._count_answer(AnswerKind.SERVED if complete else AnswerKind.FAILED, class_name)
-
     # From endpoint lists, operators and limits
 
     def apply_endpoint_list(self, endpoint_list: EndpointList) -> None:
@@ -423,17 +405,13 @@
         self.invariants.record_answer(request)
         request.answered = True
         if answer.reply is None or answer.reply.stream is None:
-            self._count_answer(answer.kind, request.incoming.class_name)
+            self.answer_counts.record_answer(answer.kind, request.incoming.class_name)
         self.counters.add(f"requests_{answer.kind.value}")
         if self.hooks:
             self.hooks.on_answer(request, answer)
         request.on_answer(answer)
         self._release(request)
 
-    def _count_answer(self, kind: AnswerKind, class_name: str) -> None:
-        self.unanswered_count -= 1
-        self.answer_counts[kind, class_name] += 1
-
     def _release(self, request: InFlightRequest) -> None:
         if not request.answered or request.attempt is not None or not self.open_requests.is_open(request):
             return
--- a/umberlead/requests/types.py
+++ b/umberlead/requests/types.py
@@ -87,7 +87,7 @@
             unknown.
         units_elsewhere: units that the endpoint served for the volume through other fronts.
         stream: the transport's object from which the rest of the body is read; None without one. The frontend
-            calls `RequestLifecycle.count_streamed_answer` at its end.
+            calls `AnswerCounts.record_streamed_answer` at its end.
         body_length: the length of the complete body in bytes; None if unknown.
     """
 
