--- a/tests/planted_soak.py
+++ b/tests/planted_soak.py
@@ -118,7 +118,7 @@
                 "    if request_class.repeatability is Repeatability.IDEMPOTENT:\n        return NEVER\n",
                 "    if True:\n        return NEVER\n",
             ),
-            Replacement("requests/send_guard.py", "if request.may_have_run and unsafe:", "if False:"),
+            Replacement("requests/send_guard.py", "if not request.may_have_run:", "if True:"),
         ),
     ),
     Planted(
