--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A list that can't be read for a while: does a server that leaves after that still get work?"""
+"""A list with a typo for a while: does a server that leaves after that still get work?"""
 
 import asyncio
 import signal
@@ -10,16 +10,16 @@
 from objects import SHARD_COUNT, ObjectFront, SteadyClient
 from rig import TROUBLE, Case, ChunkServer, configuration, library_folder, main
 
-BROKEN_SECONDS = 3.0  # for which the set of files is broken
+BROKEN_SECONDS = 3.0  # for which the main file is broken
 LEAVING_SECONDS = 1.0  # after which a server that leaves the list gets nothing new
 SLACK_SECONDS = 0.05
 TRAFFIC_SECONDS = 14.0
 WORK_SECONDS = 0.06  # of a request, within the site's figures for uploads
 
 
-def write_list(folder: Path, version: int, servers: list[ChunkServer]) -> None:
+def write_list(folder: Path, version: int, servers: list[ChunkServer], include: str = "*.list") -> None:
     """Write the list as the operators' page says: a copy of the file, renamed over it."""
-    lines = ["format 1", f"version {version}", "network 127.0.0.0/8", "include servers.d/*.list"]
+    lines = ["format 1", f"version {version}", "network 127.0.0.0/8", f"include servers.d/{include}"]
     lines += [f"server {server.name} address {server.address} shard {server.shard}" for server in servers]
     copy = folder / "servers.list.new"
     copy.write_text("\n".join([*lines, f"end {len(lines)}", ""]))
@@ -47,18 +47,17 @@
     client = SteadyClient(case, ports.objects, 0.05)
     traffic = asyncio.create_task(client.run(TRAFFIC_SECONDS))
     await asyncio.sleep(2.0)
-    link = folder / "servers.d" / "room-c.list"
-    if TROUBLE:  # a link that leads to itself is put into place, and taken away again
-        link.symlink_to("room-c.list")
-        case.record.add("list_broken")
+    if TROUBLE:  # a version with a typo is put into place, and mended by the next
+        write_list(folder, 2, servers, "**.list")
+        case.record.add("list_broken", version=2)
         await asyncio.sleep(BROKEN_SECONDS)
-        link.unlink()
-        case.record.add("list_mended")
+        write_list(folder, 3, servers)
+        case.record.add("list_mended", version=3)
     await asyncio.sleep(1.0)
     leaving = servers[0]
-    write_list(folder, 2, servers[1:])
+    write_list(folder, 4, servers[1:])
     left = case.record.now()
-    case.record.add("server_taken_out", server=leaving.name, version=2)
+    case.record.add("server_taken_out", server=leaving.name, version=4)
     await asyncio.sleep(3.0)
     front.signal(signal.SIGHUP)  # which reads the files at once, whatever the watch says
     await asyncio.sleep(3.0)
