--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,8 @@
-"""A room that is evacuated, and whose servers are stopped and come up again: does it get work?"""
+"""A front that tells its peers of rooms, and whose process is replaced: does the new process stand?"""
 
 import asyncio
-import json
+import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -9,78 +10,80 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
 from objects import SHARD_COUNT, ObjectFront, SteadyClient
-from rig import TROUBLE, Case, ChunkServer, Discovery, ask, main
+from rig import HOST, TROUBLE, Case, Front, free_port, library_folder, main
 
-ROOMS_TABLE = '[rooms]\nown = "room-a"\nnear = ["room-b"]\n\n[limits]\n'
-GRACE_SECONDS = 1.0  # for what was under way when the operator evacuated the room
+READY_SECONDS = 6.0  # within which the new process says yes
 SLACK_SECONDS = 0.05
-WORK_SECONDS = 0.06
+KILL_SECONDS = 3.7  # from SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s
+PEERS = os.environ.get("PEERS", "1") != "0"  # PEERS=0: the same without the table [rooms.peers]
 
 
-async def evacuated_room_gets_nothing_until_it_is_cleared(case: Case) -> bool:
-    """Evacuate a room, stop and start its servers; return whether they get nothing before `clear`."""
+def rooms_tables(own_port: int, other_port: int) -> str:
+    """Return the tables that set up rooms, and what the fronts tell each other of them."""
+    rooms = '[rooms]\nown = "room-a"\nnear = ["room-b"]\n\n'
+    if not PEERS:
+        return rooms
+    join = f'join = ["{HOST}:{other_port}"]'
+    return f'{rooms}[rooms.peers]\nlisten = "{HOST}:{own_port}"\n{join}\nkeys = "peers.keys"\n\n'
+
+
+async def new_process_of_a_front_with_peers_takes_over(case: Case) -> bool:
+    """Replace the process of one of two fronts, and return whether the new one stands and serves."""
     blocks: list[dict[str, bytes]] = [{} for _ in range(SHARD_COUNT)]
-    rooms = {
-        room: [await case.server(f"{room}-{n}", n, blocks[n], WORK_SECONDS) for n in range(SHARD_COUNT)]
-        for room in ("room-a", "room-b")
-    }
     discovery = await case.discovery()
-    for room, servers in rooms.items():
-        for server in servers:
-            discovery.tell(server, "ready", room)
-    ports = ObjectFront()
-    config = case.folder / "front.toml"
-    config.write_text(ports.text(discovery.port).replace("[limits]\n", ROOMS_TABLE))
-    front = case.front()
-    await front.start({"UMBERLEAD_CONFIG": str(config)})
-    await front.require_ready(ports.objects)
-    client = SteadyClient(case, ports.objects, 0.05)
-    traffic = asyncio.create_task(client.run(15.0))
+    for room in ("room-a", "room-b"):
+        for shard in range(SHARD_COUNT):
+            discovery.tell(await case.server(f"{room}-{shard}", shard, blocks[shard]), "ready", room)
+    (case.folder / "peers.keys").write_text("6f70657261746f72732d6c6f6f706261636b\n")
+    peer_ports = (free_port(), free_port())
+    ports = [ObjectFront(), ObjectFront()]
+    environments = []
+    for number, (own, other) in enumerate((peer_ports, peer_ports[::-1])):
+        text = (
+            ports[number].text(discovery.port).replace("[limits]\n", rooms_tables(own, other) + "[limits]\n")
+        )
+        names = f'name = "objects-{number + 1}"\nstate = "state-{number + 1}"'
+        config = case.folder / f"front-{number + 1}.toml"
+        config.write_text(text.replace('name = "objects-1"', names))
+        environments.append({"UMBERLEAD_CONFIG": str(config), "PYTHONPATH": library_folder()})
+    old, other_front = case.front(), case.front()
+    await old.start(environments[0])
+    await other_front.start(environments[1])
+    await old.require_ready(ports[0].objects)
+    await other_front.require_ready(ports[1].objects)
+    client = SteadyClient(case, ports[0].objects, 0.05)
+    traffic = asyncio.create_task(client.run(10.0))
     await asyncio.sleep(2.0)
-    door = await ask(case.record, ports.management, "PUT", "/control/rooms/room-a/evacuate", {})
-    if door.status != 200:
-        raise RuntimeError(f"the door answered {door.status}")
-    evacuated = case.record.now()
-    await asyncio.sleep(2.0)
-    stopped = rooms["room-a"]
-    if TROUBLE:  # the planned stop: the servers drain, end, and come up again
-        await stop_and_start(stopped, discovery)
-    await asyncio.sleep(4.0)
-    shown = await ask(case.record, ports.management, "GET", "/control/rooms", {})
-    case.record.add("door_shows", rooms=json.loads(shown.body)["rooms"])
-    for server in stopped:  # the operators restart them once more before they clear the room
-        server.stop()
+    stands = await replace(case, old, ports[0], environments[0]) if TROUBLE else True
     await traffic
-    return judge(case, stopped, evacuated, client)
-
-
-async def stop_and_start(servers: list[ChunkServer], discovery: Discovery) -> None:
-    """Stop servers as planned, and start them again, as discovery tells."""
-    for status in ("draining", "gone"):
-        for server in servers:
-            discovery.tell(server, status, "room-a")
-        await asyncio.sleep(1.5)
-    for server in servers:
-        server.stop()
-    await asyncio.sleep(1.0)
-    for server in servers:
-        await server.start()
-        discovery.tell(server, "ready", "room-a", time.time_ns() // 1_000_000)
+    failed = sum(answer.status not in (200, 503) for _, answer in client.uploads)
+    case.record.add("judged", new_process_stands=stands, uploads=len(client.uploads), uploads_failed=failed)
+    return stands
 
 
-def judge(case: Case, servers: list[ChunkServer], evacuated: float, client: SteadyClient) -> bool:
-    """Return whether the room's servers got nothing after the evacuation."""
-    since = evacuated + GRACE_SECONDS + SLACK_SECONDS
-    before = sum(run.at < evacuated for server in servers for run in server.runs)
-    late = sum(run.at > since for server in servers for run in server.runs)
-    failed = sum(answer.status not in (200, 503) for _, answer in client.uploads)
-    case.record.add(
-        "judged", runs_before=before, runs_late=late, uploads=len(client.uploads), uploads_failed=failed
+async def replace(case: Case, old: Front, ports: ObjectFront, environment: dict[str, str]) -> bool:
+    """Start a second process of the front beside the old one; return whether it takes over."""
+    door = free_port()
+    config = Path(environment["UMBERLEAD_CONFIG"])
+    beside = config.with_name("front-1-new.toml")  # the same but for the second address
+    beside.write_text(
+        config.read_text().replace(
+            f'management = "{HOST}:{ports.management}"', f'management = "{HOST}:{door}"'
+        )
     )
-    if not before:
-        raise RuntimeError("the room had no work before")
-    return not late
+    new = case.front()
+    started = time.monotonic()
+    await new.start(environment | {"UMBERLEAD_CONFIG": str(beside)})
+    ready = await new.wait_ready(door, "/control/ready", READY_SECONDS + SLACK_SECONDS)
+    seconds = round(time.monotonic() - started, 3)
+    case.record.add("new_process", ready=ready, seconds=seconds, exit_code=new.exit_code())
+    if not ready:
+        return False
+    old.signal(signal.SIGTERM)
+    await asyncio.sleep(KILL_SECONDS)
+    await old.end()
+    return new.exit_code() is None
 
 
 if __name__ == "__main__":
-    main(evacuated_room_gets_nothing_until_it_is_cleared)
+    main(new_process_of_a_front_with_peers_takes_over)
