--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,14 +1,14 @@
 """A plug-in whose hook asks a silent service again and again: is it disabled, or does the front hang?"""
 
 import asyncio
-import contextlib
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
+from catalogue import Catalogue
 from objects import SHARD_COUNT, ObjectFront
-from rig import HOST, TROUBLE, Case, ask, main
+from rig import TROUBLE, Case, ask, main
 
 SCRIPT = '''"""Asks the catalogue whether a bucket is closed, and asks again where it does not answer."""
 
@@ -34,41 +34,6 @@
 READ_COUNT = 3
 
 
-class Catalogue:
-    """The service that the plug-in asks; it may fall silent: it accepts connections and answers none.
-
-    Attributes:
-        answers: cleared while it is silent.
-        port: where it listens.
-    """
-
-    def __init__(self) -> None:
-        """Create a service that answers."""
-        self.answers = asyncio.Event()
-        self.answers.set()
-        self.port = 0
-        self._listener: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        self._listener = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self._listener.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError):
-            if await reader.read(1):
-                await self.answers.wait()
-                writer.write(b"y")
-        writer.close()
-
-    async def stop(self) -> None:
-        """Stop listening, and let the connections end."""
-        if self._listener is not None:
-            self._listener.close()
-        self.answers.set()
-        await asyncio.sleep(0.5)
-
-
 async def hook_that_overruns_is_disabled_and_the_front_serves_on(case: Case) -> bool:
     """Ask a front whose plug-in does not return; return whether each request gets its answer in time."""
     discovery = await case.discovery()
