--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,6 +14,7 @@
 LEAVING_SECONDS = 1.0  # after which a server that leaves the list gets nothing new
 SLACK_SECONDS = 0.05
 TRAFFIC_SECONDS = 14.0
+PAUSE_SECONDS = 0.2  # for which a server stands still every few seconds, as the site has it
 WORK_SECONDS = 0.06  # of a request, within the site's figures for uploads
 
 
@@ -61,6 +62,8 @@
     await asyncio.sleep(3.0)
     front.signal(signal.SIGHUP)  # which reads the files at once, whatever the watch says
     await asyncio.sleep(3.0)
+    leaving.responds.clear()  # one of its pauses
+    await asyncio.sleep(PAUSE_SECONDS)
     leaving.stop()  # its work should long be done
     await traffic
     return judge(case, leaving, left, client)
@@ -78,6 +81,7 @@
         last_late=round(late[-1].at - left, 3) if late else 0,
         uploads=len(client.uploads),
         uploads_failed=len(failed),
+        uploads_refused=sum(answer.status == 503 for _, answer in client.uploads),
         wrong_reads=client.wrong_reads,
     )
     if not before:
