--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A server that discovery tells as draining, then gone, and that the files still list: does it get work?"""
+"""A plug-in whose hook calls `sys.exit`: is it disabled, or does the front end?"""
 
 import asyncio
 import sys
@@ -6,76 +6,76 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
+from catalogue import Catalogue
 from objects import SHARD_COUNT, ObjectFront, SteadyClient
-from rig import HOST, TROUBLE, Case, ChunkServer, configuration, library_folder, main
+from rig import TROUBLE, Case, main
 
-GRACE_SECONDS = 1.0  # after which a server that drains or is gone gets nothing new (settings: drainGrace)
-SLACK_SECONDS = 0.05
-DRAINING_SECONDS = 3.0
-FINISHING_SECONDS = 4.0  # from `gone` to the end of the process
-WORK_SECONDS = 0.06
+SCRIPT = '''"""Asks the catalogue whether a bucket is closed, and ends where it can't be asked."""
+
+import socket
+import sys
+
+API = 1
+ADDRESS = ("127.0.0.1", {port})
+
+
+def request_taken(request):
+    try:
+        with socket.create_connection(ADDRESS, timeout=0.02) as link:
+            link.sendall(b"?")
+            return None if link.recv(1) == b"y" else "closed"
+    except OSError:
+        sys.exit("the catalogue can't be asked")
+'''
+LIMIT_MS = 50  # of a hook (`plugins.limit_ms`)
+BEFORE_SECONDS = 2.0
+AFTER_SECONDS = 3.0
+WORK_SECONDS = 0.06  # of a chunk server's request, within the site's figures for uploads
 
 
-async def server_that_is_gone_gets_no_new_work(case: Case) -> bool:
-    """Let discovery tell of a server's end, and return whether it gets nothing new."""
-    folder = case.folder / "watched"
-    folder.mkdir()
-    blocks: list[dict[str, bytes]] = [{} for _ in range(SHARD_COUNT)]
-    servers = [
-        await case.server(f"node-{room}{shard}", shard, blocks[shard], WORK_SECONDS)
-        for room in "ab"
-        for shard in range(SHARD_COUNT)
-    ]
-    lines = ["format 1", "version 1", "network 127.0.0.0/8"]
-    lines += [f"server {server.name} address {server.address} shard {server.shard}" for server in servers]
-    (folder / "servers.list").write_text("\n".join([*lines, f"end {len(lines)}", ""]))
+async def hook_that_crashes_is_disabled_and_the_front_serves_on(case: Case) -> bool:
+    """Let a plug-in's hook crash, and return whether the front stands and each request gets its answer."""
     discovery = await case.discovery()
-    for server in servers:
-        discovery.tell(server, "ready")
+    for shard in range(SHARD_COUNT):
+        discovery.tell(await case.server(f"s-{shard}", shard, {}, WORK_SECONDS), "ready")
+    catalogue = Catalogue()
+    await catalogue.start()
+    (case.folder / "catalogue.py").write_text(SCRIPT.format(port=catalogue.port))
     ports = ObjectFront()
-    beside = {r'^name = "objects-1"': f'name = "objects-1"\ndiscovery = "{HOST}:{discovery.port}"'}
     config = case.folder / "front.toml"
-    config.write_text(configuration("watched.toml", ports.replacements() | beside))
+    text = ports.text(discovery.port).replace("scripts = []", 'scripts = ["catalogue.py"]')
+    config.write_text(text.replace("limit_ms = 5\n", f"limit_ms = {LIMIT_MS}\n"))
     front = case.front()
-    await front.start({"UMBERLEAD_CONFIG": str(config), "PYTHONPATH": library_folder()})
+    await front.start({"UMBERLEAD_CONFIG": str(config)})
     await front.require_ready(ports.objects)
     client = SteadyClient(case, ports.objects, 0.05)
-    traffic = asyncio.create_task(client.run(2.0 + DRAINING_SECONDS + FINISHING_SECONDS + 2.0))
-    await asyncio.sleep(2.0)
-    leaving = servers[0]
-    told = case.record.now()
+    traffic = asyncio.create_task(client.run(BEFORE_SECONDS + AFTER_SECONDS))
+    await asyncio.sleep(BEFORE_SECONDS)
+    if front.exit_code() is not None or front.logged("plugin_disabled"):
+        raise RuntimeError("the front has ended, or the plug-in was too slow for this machine")
+    ended = case.record.now()
     if TROUBLE:
-        discovery.tell(leaving, "draining")
-    await asyncio.sleep(DRAINING_SECONDS)
-    gone = case.record.now()
-    if TROUBLE:
-        discovery.tell(leaving, "gone")
-    await asyncio.sleep(FINISHING_SECONDS)
-    if TROUBLE:
-        leaving.stop()
+        await catalogue.stop()
+        case.record.add("catalogue_ended")
     await traffic
-    return judge(case, leaving, told, gone, client)
-
-
-def judge(case: Case, leaving: ChunkServer, told: float, gone: float, client: SteadyClient) -> bool:
-    """Return whether the server got nothing new in time, and whether it had work before."""
-    since = told + GRACE_SECONDS + SLACK_SECONDS
-    before = sum(run.at < told for run in leaving.runs)
-    draining = sum(since < run.at < gone for run in leaving.runs)
-    after = sum(run.at > gone + GRACE_SECONDS + SLACK_SECONDS for run in leaving.runs)
-    failed = sum(answer.status not in (200, 503) for _, answer in client.uploads)
+    served = sum(answer.status == 200 for _, answer in client.uploads)
+    lost = sum(sent < ended and not answer.complete for sent, answer in client.uploads)
+    unanswered = sum(not answer.complete for _, answer in client.uploads)
+    exit_code = front.exit_code()
     case.record.add(
         "judged",
-        runs_before=before,
-        runs_while_draining=draining,
-        runs_after_gone=after,
+        exit_code=exit_code,
         uploads=len(client.uploads),
-        uploads_failed=failed,
+        served=served,
+        sent_before_and_lost=lost,
+        unanswered=unanswered,
+        disabled=len(front.logged("plugin_disabled")),
     )
-    if not before:
-        raise RuntimeError("the server that leaves had no work before")
-    return not TROUBLE or not draining + after
+    await front.end()
+    if not TROUBLE:
+        await catalogue.stop()
+    return exit_code is None and not unanswered
 
 
 if __name__ == "__main__":
-    main(server_that_is_gone_gets_no_new_work)
+    main(hook_that_crashes_is_disabled_and_the_front_serves_on)
