Pass the gossip address from a front's old process to its new one

What callers saw: a front with [rooms.peers] could not be replaced. The second process ended with 2 after 0.5 s ("listen: could not bind to local_addr"), before it listened for clients.

Cause: the old process has the UDP address until it ends, and a failed bind of the new one ended its start. Ruled out: sharing the port (SO_REUSEPORT).

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -407,7 +407,8 @@
 
         for k, harness in enumerate(harnesses):
             config = configuration.GossipConfig(("127.0.0.1", 0), seed_addresses, tmp_path / "keys", 20_000)
-            gossip = await start_gossip(config, f"f{k}", k, harness.zones.router.zone_health, clock)
+            keys = GossipKeys.read(config.keys_path)
+            gossip = await start_gossip(config, keys, f"f{k}", k, harness.zones.router.zone_health, clock)
             host, _, port = gossip.address.rpartition(":")
             seed_addresses = ((host, int(port)),)
             services.append(gossip)
--- a/umberlead/daemon/process.py
+++ b/umberlead/daemon/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import os
 import signal
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -14,6 +13,7 @@
 from umberlead.daemon.assembly import ProcessComponents
 from umberlead.daemon.endpoint_list_sync import EndpointListSync
 from umberlead.daemon.frontends import FrontendAssembly
+from umberlead.daemon.gossip_start import GossipStart
 from umberlead.daemon.limits import QUOTA_UPDATE_INTERVAL_US, LimitControl
 from umberlead.daemon.reporting import REPORT_INTERVAL_US, SWEEP_INTERVAL_US, Reporting
 from umberlead.daemon.shared_state_sync import SharedStateSync
@@ -42,6 +42,7 @@
         state_sync: Applies changes made by sibling processes and by operators.
         endpoint_list_sync: Applies the endpoint lists of discovery.
         frontends: Creates the frontends and opens their listeners.
+        gossip_start: Starts and ends gossip.
         shutdown: The graceful shutdown.
         reporting: Logs the counters.
     """
@@ -69,7 +70,8 @@
         self.state_sync = SharedStateSync(self, self.limits)
         self.endpoint_list_sync = EndpointListSync(self)
         self.frontends = FrontendAssembly(self, self.limits)
-        self.shutdown = GracefulShutdown(self, self.state_sync)
+        self.gossip_start = GossipStart(self)
+        self.shutdown = GracefulShutdown(self, self.state_sync, self.gossip_start)
         self.reporting = Reporting(self)
         self._stages = stages or StartStages(monotonic_us())
         self._early_reload_signals = early_reload_signals
@@ -94,7 +96,7 @@
                 self.endpoint_list_sync.knows_endpoint,
             )
         )
-        await self._start_gossip()
+        await self.gossip_start.start()
         self.state_sync.sync()
         self.limits.apply()
         self.wheel.call_after(QUOTA_UPDATE_INTERVAL_US, self.limits.update_quota_periodically)
@@ -168,26 +170,6 @@
     def _is_ready(self) -> bool:
         return bool(self.listeners) and not self.shutdown.stop_requested
 
-    async def _start_gossip(self) -> None:
-        """Start to exchange zone health with other fronts if the configuration has gossip."""
-        if self.zones is None or self.config.zones is None or self.config.zones.gossip is None:
-            return
-        from umberlead.gossip.messages import GossipKeysError
-        from umberlead.gossip.udp_transport import start_gossip
-
-        seed = self.config.seed ^ os.getpid()
-        try:
-            self.gossip = await start_gossip(
-                self.config.zones.gossip,
-                self.config.name,
-                seed,
-                self.zones.router.zone_health,
-                self.clock,
-            )
-        except GossipKeysError as error:
-            raise configuration.ConfigError("rooms.peers.keys", str(error)) from None
-        self.log.info("gossip_started", address=self.gossip.address)
-
     async def _wait_for_first_list(self) -> None:
         """Wait for the endpoint list of a discovery agent, so that it applies to the first request."""
         if self.discovery_watch is None or not self.discovery_watch.expects_agent:
@@ -255,8 +237,7 @@
             self.discovery_watch.close()
         if self.watched_lists is not None:
             self.watched_lists.close()
-        if self.gossip is not None:
-            self.gossip.close()
+        self.gossip_start.close()
         self.pool.close()
         for clients in self.client_groups:
             clients.close()
--- a/umberlead/daemon/shutdown.py
+++ b/umberlead/daemon/shutdown.py
@@ -1,6 +1,7 @@
 """The graceful shutdown of a process: it answers all accepted requests before SIGKILL."""
 
 from umberlead.daemon.assembly import ProcessComponents
+from umberlead.daemon.gossip_start import GossipStart
 from umberlead.daemon.shared_state_sync import SharedStateSync
 
 ACCEPT_AFTER_SIGTERM_US = 550_000  # new connections are still accepted during this time
@@ -22,10 +23,13 @@
         is_draining: Whether connections are closed as soon as they are idle.
     """
 
-    def __init__(self, components: ProcessComponents, state_sync: SharedStateSync) -> None:
+    def __init__(
+        self, components: ProcessComponents, state_sync: SharedStateSync, gossip_start: GossipStart
+    ) -> None:
         """Start with no shutdown requested."""
         self._components = components
         self._state_sync = state_sync
+        self._gossip_start = gossip_start
         self.stop_requested = False
         self.is_draining = False
 
@@ -42,6 +46,7 @@
         components.pool.buffers_responses = True
         components.log.info("stopping", open=len(components.lifecycle.open_requests))
         components.shared_state.announce_leaving()
+        self._gossip_start.close()
         if components.listeners:  # from now on its share of the volumes' limits is smaller
             self._state_sync.sync()
         for listener in components.listeners:
--- a/umberlead/gossip/udp_transport.py
+++ b/umberlead/gossip/udp_transport.py
@@ -1,6 +1,7 @@
 """Gossip over UDP, which exchanges observed zone states with the other fronts."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -83,8 +84,26 @@
             self._protocol.transport.close()
 
 
+def _open_socket(address: configuration.Address) -> socket.socket:
+    """Open a UDP socket for this process alone: two that share a port each get a part of its datagrams.
+
+    Raises:
+        OSError: The socket can't be opened at the address.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    udp_socket = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        udp_socket.setblocking(False)
+        udp_socket.bind(address)
+    except OSError:
+        udp_socket.close()
+        raise
+    return udp_socket
+
+
 async def start_gossip(
     gossip_config: configuration.GossipConfig,
+    keys: GossipKeys,
     name: str,
     seed: int,
     zone_health: ZoneHealth,
@@ -93,28 +112,28 @@
     """Open the socket and start the periodic task.
 
     Args:
-        gossip_config: The addresses, the key file and the rate limit.
+        gossip_config: The addresses and the rate limit.
+        keys: The keys that the fronts share.
         name: This front's name.
         seed: The seed of the random numbers, a different one for each process.
         zone_health: Provides the zone states that this front observes, and records those of its peers.
         clock: Returns the time in microseconds.
 
     Raises:
-        GossipKeysError: The keys can't be used.
         OSError: The socket can't be opened at the address.
     """
+    udp_socket = _open_socket(gossip_config.listen)
+    host, port = udp_socket.getsockname()[:2]
     gossip = Gossip(
         name,
-        "",
-        [f"{host}:{port}" for host, port in gossip_config.seed_addresses],
-        GossipKeys.read(gossip_config.keys_path),
+        f"{host}:{port}",
+        [f"{seed_host}:{seed_port}" for seed_host, seed_port in gossip_config.seed_addresses],
+        keys,
         seed,
         clock(),
         gossip_config.max_bytes_per_second,
     )
-    transport, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: GossipProtocol(gossip, clock), local_addr=gossip_config.listen
+    _, protocol = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: GossipProtocol(gossip, clock), sock=udp_socket
     )
-    host, port = transport.get_extra_info("sockname")[:2]
-    gossip.address = f"{host}:{port}"
     return GossipService(protocol, zone_health)
