Keep a plug-in from ending or changing the front's process

What callers saw: a hook that called sys.exit ended the front with 1. 6 to 8 uploads under way got no answer, later ones found nobody.

Cause: the hook's call caught Exception alone, and asyncio lets SystemExit and KeyboardInterrupt out of the loop. Related paths: os._exit, signals sent or changed by a hook, loop.stop(), threads and exit handlers that outlive a hook, and modules that exit as they load.

Change: any exception of a call is caught; while a script runs, functions that act on the whole process raise an error, and the script is disabled also where it catches that; the call sees no running event loop.

--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -156,6 +156,57 @@
     assert scripts.request.annotations == {"?": "?"}
 
 
+# Bodies of hooks that would end the process or change it, with what is logged.
+HARMFUL = {
+    "exit": ("import sys\nsys.exit('no catalogue')", "SystemExit('no catalogue')"),
+    "interrupt": ("raise KeyboardInterrupt", "KeyboardInterrupt()"),
+    "generator exit": ("raise GeneratorExit", "GeneratorExit()"),
+    "cancellation": ("import asyncio\nraise asyncio.CancelledError", "CancelledError()"),
+    "greenlet exit": ("import greenlet\nraise greenlet.GreenletExit", "GreenletExit()"),
+    "recursion": ("def again(): again()\nagain()", "RecursionError("),
+    "memory": ("bytearray(1 << 60)", "MemoryError()"),
+    "exit at once": ("import os\nos._exit(3)", "called os._exit"),
+    "built-in exit": ("import posix\nposix._exit(3)", "called posix._exit"),
+    "caught exit": ("import os\ntry: os._exit(3)\nexcept Exception: pass", "called os._exit"),
+    "abort": ("import os\nos.abort()", "called os.abort"),
+    "kill": ("import os, signal\nos.kill(os.getpid(), signal.SIGKILL)", "called os.kill"),
+    "signal": ("import signal\nsignal.raise_signal(signal.SIGKILL)", "called signal.raise_signal"),
+    "alarm": ("import signal\nsignal.alarm(1)", "called signal.alarm"),
+    "blocked alarm": (
+        "import signal\nsignal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGALRM})",
+        "called signal.pthread_sigmask",
+    ),
+    "handler": ("import signal\nsignal.signal(signal.SIGALRM, signal.SIG_DFL)", "called signal.signal"),
+    "timer": ("import signal\nsignal.setitimer(signal.ITIMER_REAL, 0)", "called signal.setitimer"),
+    "thread": ("import threading\nthreading.Thread(target=print).start()", "called threading."),
+    "fork": ("import os\nif not os.fork(): os._exit(0)", "called os.fork"),
+    "program": ("import subprocess\nsubprocess.run(['true'])", "called subprocess."),
+    "end of the process": ("import atexit\natexit.register(print)", "called atexit.register"),
+    "running loop": ("import asyncio\nasyncio.get_running_loop().stop()", "RuntimeError("),
+}
+
+
+# Guards against a hook that ends the process, or changes what the whole process relies on.
+@pytest.mark.parametrize(("body", "reason"), HARMFUL.values(), ids=HARMFUL.keys())
+def test_hook_that_acts_on_the_whole_process_is_disabled(tmp_path: Path, body: str, reason: str) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        for hook in HOOKS:
+            scripts = LoadedScripts(tmp_path, script(hook, body))
+            assert scripts.call_all() is None
+            assert len(scripts.log) == 1 and scripts.log[0]["reason"].startswith(reason), scripts.log
+            assert asyncio.get_running_loop() is loop
+
+    asyncio.run(test())
+
+
+# Guards against a start that ends without a message, or as if it had succeeded.
+@pytest.mark.parametrize("body", ["raise SystemExit(0)", "import os\nos._exit(0)", "raise KeyboardInterrupt"])
+def test_script_that_exits_as_it_loads_is_an_error_that_names_its_key(tmp_path: Path, body: str) -> None:
+    with pytest.raises(ConfigError, match=r"plugins.scripts.0: script0.py failed to load: "):
+        LoadedScripts(tmp_path, f"{body}\nAPI = 1\n")
+
+
 REQUESTS_COUNT = 240
 REQUEST_INTERVAL_SECONDS = 1 / 240
 BROKEN_AFTER_COUNT = 40  # calls of the hook
@@ -168,6 +219,14 @@
     check_front_with_script(tmp_path, "calls = 0\n" + script(HOOKS[0], body))
 
 
+# Guards against a process that ends with the hook, and takes the requests under way with it.
+@pytest.mark.parametrize("kind", ["exit", "exit at once", "kill", "interrupt"])
+@pytest.mark.parametrize("hook", HOOKS, ids=[hook.partition("(")[0] for hook in HOOKS])
+def test_front_serves_all_requests_while_a_hook_tries_to_end_it(tmp_path: Path, kind: str, hook: str) -> None:
+    body = f"global calls\ncalls += 1\nif calls > {BROKEN_AFTER_COUNT}:\n{indented(HARMFUL[kind][0])}"
+    check_front_with_script(tmp_path, "calls = 0\n" + script(hook, body))
+
+
 def check_front_with_script(folder: Path, source: str) -> None:
     """Check that a process with the script serves each request, disables the script, and ends in order."""
 
--- a/umberlead/plugins/interruptible_call.py
+++ b/umberlead/plugins/interruptible_call.py
@@ -7,6 +7,7 @@
 Only a call of C code that never checks for signals can't be interrupted.
 """
 
+import asyncio
 import ctypes
 import signal
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 from greenlet import getcurrent, greenlet
 
 from umberlead.plugins.interface import CallFailedError, CallTimeoutError
+from umberlead.plugins.process_functions import process_function_guard
 
 T = TypeVar("T")
 
@@ -45,15 +47,15 @@
     """Return an exception as text; its own `__repr__` may fail too."""
     try:
         return repr(error)
-    except Exception:
+    except BaseException:
         return type(error).__name__
 
 
 def _outcome_of(function: Callable[[], Any]) -> _Returned | _Raised:
-    """Call a function."""
+    """Call a function, whose exception may be any: SystemExit would end the process."""
     try:
         return _Returned(function())
-    except Exception as error:
+    except BaseException as error:
         return _Raised(_describe(error))
 
 
@@ -65,6 +67,7 @@
         self._caller: greenlet | None = None
         self._worker = self._new_worker()
         signal.signal(signal.SIGALRM, self._on_alarm)
+        self._guard = process_function_guard()
 
     def call(self, function: Callable[[], T], timeout_us: int) -> T:
         """Call a function and return its value.
@@ -75,14 +78,22 @@
 
         Raises:
             CallTimeoutError: the call did not return within the timeout, and was abandoned.
-            CallFailedError: the call raised an exception.
+            CallFailedError: the call raised an exception, of whatever type, or called a function that acts on
+                the whole process.
         """
         seconds = max(timeout_us / 1e6, MIN_TIMEOUT_SECONDS)
         self._caller = getcurrent()
         # The timer repeats, as a first signal may come before the call has begun.
         signal.setitimer(signal.ITIMER_REAL, seconds, seconds)
+        loop = asyncio._get_running_loop()
+        asyncio._set_running_loop(None)  # so that the call can't stop it or give it tasks
+        self._guard.is_script_running = True
         outcome = self._worker.switch(function)
+        self._guard.is_script_running = False
+        asyncio._set_running_loop(loop)
         signal.setitimer(signal.ITIMER_REAL, 0)
+        if self._guard.refused:
+            outcome = self._refused_outcome(outcome)
         if isinstance(outcome, _Returned):
             return outcome.value
         if isinstance(outcome, _Raised):
@@ -90,6 +101,12 @@
         self._abandon_worker()
         raise CallTimeoutError("the call did not return in time")
 
+    def _refused_outcome(self, outcome: "_Returned | _Raised | _Abandoned") -> "_Raised | _Abandoned":
+        """Return the outcome of a call that was refused a function, which it may have caught."""
+        names = ", ".join(sorted(set(self._guard.refused)))
+        self._guard.refused.clear()
+        return outcome if isinstance(outcome, _Abandoned) else _Raised(f"called {names}")
+
     def _new_worker(self) -> greenlet:
         """Return a greenlet that makes calls, started up to its first one."""
         worker = greenlet(self._run_calls)
