Bound the stall of an answer that has begun by its request's deadline

What callers saw: a range read whose server stalled after the first MiB ended after 2.1 s where its client waits 1 s, and after 6.3 s of 2 s. A long answer of the platform's front end that stalled ended after 10 s of silence.

Cause: once an answer had begun its deadline was dropped. Each window of an object got the operation's time anew, a streamed answer the idle time-out.

Change: a window begun before the client's time ends by then or within 0.5 s; later ones have the request's time anew. A silence in a streamed answer that began before the deadline ends by then, or after 0.65 s, or after twice the longest pause of that answer. An answer of a told length up to 64 KiB that is streamed for want of memory counts as small.

Checks changed: test_client_that_pauses_past_the_deadline_gets_the_complete_response let the server be silent for 9 s, 1 s past the extended deadline; it is 7 s now, which still fails if the deadline isn't extended. The planted mistake of a small stopped response names the new line.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -74,7 +74,7 @@
     ("watches: the late response to a cancelled call is ignored", WATCH, "elif self.late_stream is None and self.pacing.is_still_read(stream.call, now_us):", "elif False:"),
     ("watches: requests are accepted before the list has arrived", PROCESS, "if self.discovery_watch is None or not self.discovery_watch.expects_agent:", "if True:"),
     ("streamed responses: one that makes progress is aborted at its deadline", STREAM, "        if due_us <= now_us:\n            self.abort()", "        if min(due_us, due_us if self.paused else self.deadline_us) <= now_us:\n            self.abort()"),
-    ("streamed responses: a small one that stopped is waited for", STREAM, "due_us = min(due_us, max(response.last_received_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))", "pass"),
+    ("streamed responses: a small one that stopped is waited for", STREAM, "return min(limit_us, max(silent_since_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))", "return limit_us"),
     ("streamed responses: one past the size limit is not aborted", STREAM, "elif exceeds_stream_limit(self.forwarded_bytes):", "elif False:"),
     ("streamed responses: none is evicted at endpoints", POOL, "            min(overdue)[2].evict()\n", "            return False\n"),
     ("endpoint connections: a lower limit closes all idle ones", POOL, "        for _ in range(len(self.slots) - self.max_connections):  # slots are freed one iteration later\n", "        while len(self.slots) > self.max_connections:\n"),
--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -323,6 +323,37 @@
     )
 
 
+# Guards against a client that waits long past its time for an answer whose endpoint has stalled in it.
+@pytest.mark.parametrize("way", FRAMING_HEADERS)
+@pytest.mark.parametrize("stalled_before_us", [7_900_000, 3_000_000, 500_000, 100_000])
+def test_stalled_response_is_aborted_at_the_deadline_or_after_the_longest_pause(
+    way: str, stalled_before_us: int
+) -> None:
+    """The endpoint sends parts of a long response every 0.5 s, the last one some time before the deadline."""
+    steps = "".join(
+        "clock 500000\n" + body_piece(0, way, 70_000 + n, 70_001 + n) + f"a has {70_001 + n}\n"
+        for n in range((REQUEST_BUDGET_US - 15_000 - stalled_before_us) // 500_000)
+    )
+    rest_us = (REQUEST_BUDGET_US - 15_000 - stalled_before_us) % 500_000
+    last = 70_000 + steps.count("clock")
+    remaining_us = max(stalled_before_us, 1_000_000 if steps else SERVER_PAUSE_TIMEOUT_US)
+    play(
+        endpoints(1),
+        start_response("a", 0, way),
+        "a has 70000\n",
+        steps,
+        f"clock {rest_us}\n",
+        body_piece(0, way, last, last + 10),
+        f"a has {last + 10}\n",
+        f"clock {remaining_us - 50_000}\n",
+        HEALTH_CHECK.format("b"),
+        "counter node_answers_broke_off 0\n",
+        "clock 100000\n",
+        HEALTH_CHECK.format("c"),
+        "counter node_answers_broke_off 1\na cut\n",
+    )
+
+
 @pytest.mark.parametrize("way", ["chunked", "bare"])
 def test_response_in_small_pieces_continues_past_its_deadline(way: str) -> None:
     play(
--- a/tests/test_streaming_race_conditions.py
+++ b/tests/test_streaming_race_conditions.py
@@ -560,14 +560,14 @@
 @pytest.mark.parametrize("way", FRAMING_HEADERS)
 def test_client_that_pauses_past_the_deadline_gets_the_complete_response(way: str) -> None:
     """While the client does not read, neither the endpoint's idle time-out runs nor the age after which its
-    slot is evicted."""
+    slot is evicted, and the request's deadline is later by that time."""
     play(
         response_to_slow_client(way),
         "holds 1\n",
         "clock 9000000\n" * 3,
         HEALTH_CHECK.format("b"),
         "a reads\na has 70000\nholds 0\n",
-        f"clock {STREAM_IDLE_TIMEOUT_US - 1_000_000}\n",
+        f"clock {REQUEST_BUDGET_US - 1_000_000}\n",
         body_piece(0, way, 70_000, 120_000),
         end_response(0, way),
         "a whole 120000\ncounter node_answers_broke_off 0\n",
--- a/umberlead/frontends/object_api/handler.py
+++ b/umberlead/frontends/object_api/handler.py
@@ -17,7 +17,6 @@
     ObjectRequest,
     parse_object_request,
     reject_unsupported_features,
-    time_budget_us,
 )
 from umberlead.frontends.object_api.s3_messages import error_document
 from umberlead.frontends.object_api.uploads import UploadRegistry
@@ -206,6 +205,5 @@
             if method in KNOWN_METHODS and request.query:
                 raise S3Error("NotImplemented", "this operation is not offered")
             raise S3Error("MethodNotAllowed", "this method is not offered here")
-        timeout_us = min(route.operation.timeout_us, time_budget_us(request))
-        request.deadline_us = request.http_request.received_us + timeout_us
+        request.set_timeout(route.operation.timeout_us)
         return route.handle
--- a/umberlead/frontends/object_api/reads.py
+++ b/umberlead/frontends/object_api/reads.py
@@ -16,6 +16,8 @@
 from umberlead.net.server_connection import ServerConnection
 from umberlead.requests.lifecycle import RequestLifecycle
 
+# The least time for a window of a response that has begun: servers may be slow without having stalled.
+MIN_WINDOW_TIMEOUT_US = 500_000
 CLIENT_READ_TIMEOUT_US = 60_000_000  # for data written to a client that it has not read
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 BOUNDARY_TEMPLATE = "umberlead-{}"
@@ -208,7 +210,7 @@
 
         Up to `buffer_bytes` are read before the response begins, so that a failure until then is answered
         with an error response. The remainder is streamed in windows of `max_parallel_blocks` blocks; if one
-        fails, the connection is aborted before the end of the body.
+        fails or is not read in time, the connection is aborted before the end of the body.
         """
         conn = request.conn
         config = self.config
@@ -227,7 +229,8 @@
             if first_bytes >= length_bytes:
                 conn.send_response(response.status, response.headers, b"".join(first_windows))
                 return
-            request.deadline_us = 0  # from now on each window has its own deadline
+            request.response_has_begun = True
+            request.set_timeout(operation.timeout_us)
             response_start = conn.begin_response(response.status, response.headers, length_bytes)
             conn.transport.writelines(response_start + first_windows)
             first_windows.clear()
@@ -256,6 +259,20 @@
         finally:
             timer.cancel()
 
+    def _window_deadline_us(self, request: ObjectRequest) -> int:
+        """Return until when a window that is read from now on must be complete.
+
+        Before the response begins, that is the request's deadline. After that, a response that progresses
+        goes on past the deadline, and a window begun past it has the request's time anew.
+        """
+        if not request.response_has_begun:
+            return request.deadline_us
+        now_us = self.lifecycle.clock()
+        min_deadline_us = now_us + MIN_WINDOW_TIMEOUT_US
+        if now_us < request.deadline_us:
+            return max(request.deadline_us, min_deadline_us)
+        return max(now_us + request.timeout_us, min_deadline_us)
+
     async def _read_windows(
         self, request: ObjectRequest, operation: ObjectOperation, manifest: Manifest, segments: list[Segment]
     ) -> AsyncIterator[bytes]:
@@ -266,7 +283,7 @@
                 continue
             block_ranges = list(manifest.block_ranges(*segment))
             for first in range(0, len(block_ranges), self.config.max_parallel_blocks):
-                deadline_us = request.deadline_us or self.lifecycle.clock() + operation.timeout_us
+                deadline_us = self._window_deadline_us(request)
                 window = block_ranges[first : first + self.config.max_parallel_blocks]
                 reads = [
                     self.blocks.read_range(request, operation, block_range, deadline_us)
--- a/umberlead/frontends/object_api/requests.py
+++ b/umberlead/frontends/object_api/requests.py
@@ -28,7 +28,9 @@
         key: the object's key, empty for a request about the bucket.
         query: the query's parameters.
         plan: the bucket's plan.
-        deadline_us: when the request has to be answered; 0 once the response has begun.
+        timeout_us: how long the client waits, from `HttpRequest.received_us` on.
+        deadline_us: when the request has to be answered.
+        response_has_begun: whether a part of the response was sent.
         open_block_requests: the chunk server requests in flight for this request.
         client_has_left: whether the client disconnected while a write was in progress.
     """
@@ -40,10 +42,21 @@
     key: str
     query: dict[str, str]
     plan: str = ""
+    timeout_us: int = 0
     deadline_us: int = 0
+    response_has_begun: bool = False
     open_block_requests: set[InFlightRequest] = field(default_factory=set)
     client_has_left: bool = False
 
+    def set_timeout(self, operation_timeout_us: int) -> None:
+        """Set the time limit: that of the operation, or of the client if that is shorter.
+
+        Raises:
+            S3Error: X-Budget is malformed or not above 0.
+        """
+        self.timeout_us = min(operation_timeout_us, time_budget_us(self))
+        self.deadline_us = self.http_request.received_us + self.timeout_us
+
     def header(self, name: bytes) -> str:
         """Return the value of a header field by its lower-case name; empty if the request has none."""
         return self.http_request.headers.get(name, b"").decode("latin-1").strip()
--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -10,6 +10,7 @@
 
 STREAM_IDLE_TIMEOUT_US = 10_000_000  # without progress, after which a streamed response is aborted
 SERVER_PAUSE_TIMEOUT_US = 650_000  # limit on an endpoint's pause, at and past the request's deadline
+PAUSE_TOLERANCE_FACTOR = 2  # by which a pause may exceed the longest one before it in the same response
 # Age past its request's deadline at which a streamed response can be evicted when slots are short. One
 # without a length may never end; one with a length ends, however slow.
 UNSIZED_EVICTION_AGE_US = 10_000_000
@@ -114,6 +115,7 @@
         self.forwarded_bytes = forwarded_bytes
         self.paused = False
         self._paused_since_us = 0
+        self._longest_pause_us = 0  # of the endpoint, between two reads
         self._pieces: list[bytes] = []  # of the read that is being parsed
 
     def start(self, deadline_us: int) -> None:
@@ -125,7 +127,9 @@
     def feed(self, data: bytes) -> None:
         """Parse input and forward the body."""
         response = self._owner.response
-        if response.feed(data, self._pool.clock()):
+        now_us = self._pool.clock()
+        self._longest_pause_us = max(self._longest_pause_us, now_us - response.last_received_us)
+        if response.feed(data, now_us):
             self.read_ended()
         else:
             self.abort()
@@ -181,22 +185,38 @@
         self._owner.timer = self._pool.wheel.call_at(at_us, self._check)
 
     def _check(self) -> None:
-        """Abort a response whose endpoint has stopped sending.
+        """Abort a response whose endpoint has stopped sending; the connection detects a stalled reader.
 
-        A response that progresses continues, even past the request's deadline. One without a length and of at
-        most 64 KiB so far may be a small one whose client waits for the last byte: past the deadline it is
-        aborted after a pause of `SERVER_PAUSE_TIMEOUT_US`. A stalled reader is detected by its connection.
+        A response that progresses continues, even past the request's deadline.
         """
         now_us = self._pool.clock()
-        response = self._owner.response
-        due_us = (now_us if self.paused else response.last_received_us) + STREAM_IDLE_TIMEOUT_US
-        if not self.paused and response.content_length is None and self.forwarded_bytes <= MAX_BODY_BYTES:
-            due_us = min(due_us, max(response.last_received_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))
+        due_us = now_us + STREAM_IDLE_TIMEOUT_US if self.paused else self._silence_limit_us()
         if due_us <= now_us:
             self.abort()
         else:
             self._check_at(due_us)
 
+    def _silence_limit_us(self) -> int:
+        """Return until when the endpoint may stay silent.
+
+        The client of a response that may be small waits for the last byte: any silence may last until the
+        deadline, or as long as a pause may if that ends later. So may a silence in a longer one that began
+        before the deadline; one that began past it may last for `STREAM_IDLE_TIMEOUT_US`.
+        """
+        response = self._owner.response
+        silent_since_us = response.last_received_us
+        limit_us = silent_since_us + STREAM_IDLE_TIMEOUT_US
+        size_bytes = response.content_length or self.forwarded_bytes  # so far, where the length is unknown
+        if size_bytes <= MAX_BODY_BYTES:
+            return min(limit_us, max(silent_since_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))
+        if silent_since_us <= self.deadline_us:
+            return min(limit_us, max(silent_since_us + self._max_pause_us(), self.deadline_us))
+        return limit_us
+
+    def _max_pause_us(self) -> int:
+        """Return how long a pause may be: an endpoint that has paused for longer is slow, and not stalled."""
+        return max(SERVER_PAUSE_TIMEOUT_US, PAUSE_TOLERANCE_FACTOR * self._longest_pause_us)
+
     # BodySource interface: called by the client's side
 
     def eviction_rank(self) -> StreamEvictionKey | None:
