Limit by how much a plug-in's call may let the process grow

What callers would see: a hook that fills a list without end takes the machine's memory, and a front that is killed for memory has crashed. C code that allocates in a loop was not interrupted at all, and an abandoned call keeps what it has.

Change: RLIMIT_DATA is set for the time of a call, to the process's present size and a quarter of limits.memory_mb; the hook gets a MemoryError and its script is disabled. One more descriptor is counted where scripts are named.

--- a/umberlead/daemon/assembly.py
+++ b/umberlead/daemon/assembly.py
@@ -29,6 +29,7 @@
     from umberlead.zones.integration import ZoneIntegration
 
 DEFAULT_CONNECT_TIMEOUT_US = 250_000
+PLUGIN_MEMORY_DIVISOR = 4  # the part of the memory limit by which the process may grow in a call of a script
 ENDPOINT_HOST = "service.internal"  # the Host header of requests to endpoints
 
 
@@ -108,7 +109,12 @@
 
             settings = with_retry_budget(settings, config.zones.retry_budget_ratio)
         hooks = PluginHooks(
-            config.plugin_paths, config.plugin_timeout_us, self.counters, self.log.warning, self.trace
+            config.plugin_paths,
+            config.plugin_timeout_us,
+            self.counters,
+            self.log.warning,
+            self.trace,
+            config.memory_limit_bytes // PLUGIN_MEMORY_DIVISOR,
         )
         lifecycle = RequestLifecycle(
             settings,
--- a/umberlead/plugins/hooks.py
+++ b/umberlead/plugins/hooks.py
@@ -27,6 +27,7 @@
 MAX_ANNOTATIONS_COUNT = 16  # in one hook's return value
 MAX_ANNOTATION_SIZE = 256  # characters, of a name, a value or a reason
 ALARM_TIMEOUT_FACTOR = 2  # a hook that still runs after this multiple of its timeout is abandoned
+DEFAULT_MAX_GROWTH_BYTES = 8 << 20
 DEFAULT_REASON = "refused by a plug-in"
 
 
@@ -76,6 +77,7 @@
         counters: Counters,
         log: Callable[..., Any],
         trace_log: Callable[..., Any] | None = None,
+        max_growth_bytes: int = DEFAULT_MAX_GROWTH_BYTES,
     ) -> None:
         """Load the scripts.
 
@@ -85,6 +87,7 @@
             counters: count rejections and disabled scripts.
             log: called when a script is disabled.
             trace_log: called for each answer with the scripts' annotations; None for no trace.
+            max_growth_bytes: by how much the process may grow during a call of a script.
 
         Raises:
             ConfigError: a script failed to load.
@@ -96,13 +99,13 @@
         self.plugins: list[Plugin] = []
         self._caller: InterruptibleCaller | None = None
         if paths:
-            self._load(paths)
+            self._load(paths, max_growth_bytes)
 
-    def _load(self, paths: tuple[Path, ...]) -> None:
+    def _load(self, paths: tuple[Path, ...], max_growth_bytes: int) -> None:
         from umberlead.plugins.interruptible_call import InterruptibleCaller
         from umberlead.plugins.script import Plugin
 
-        caller = InterruptibleCaller()
+        caller = InterruptibleCaller(max_growth_bytes)
         self.plugins = [
             Plugin(path, f"plugins.scripts.{number}", caller) for number, path in enumerate(paths)
         ]
--- a/umberlead/plugins/interruptible_call.py
+++ b/umberlead/plugins/interruptible_call.py
@@ -18,6 +18,7 @@
 from greenlet import getcurrent, greenlet
 
 from umberlead.plugins.interface import CallFailedError, CallTimeoutError
+from umberlead.plugins.memory_limit import MemoryLimit
 from umberlead.plugins.process_functions import process_function_guard
 
 T = TypeVar("T")
@@ -62,8 +63,13 @@
 class InterruptibleCaller:
     """Makes the calls; there is one for each process, as the timer and its signal are the process's."""
 
-    def __init__(self) -> None:
-        """Install the signal's handler; only the main thread can do this."""
+    def __init__(self, max_growth_bytes: int) -> None:
+        """Install the signal's handler; only the main thread can do this.
+
+        Args:
+            max_growth_bytes: by how much the process may grow during a call.
+        """
+        self._memory_limit = MemoryLimit(max_growth_bytes)
         self._caller: greenlet | None = None
         self._worker = self._new_worker()
         signal.signal(signal.SIGALRM, self._on_alarm)
@@ -87,9 +93,11 @@
         signal.setitimer(signal.ITIMER_REAL, seconds, seconds)
         loop = asyncio._get_running_loop()
         asyncio._set_running_loop(None)  # so that the call can't stop it or give it tasks
+        self._memory_limit.begin()
         self._guard.is_script_running = True
         outcome = self._worker.switch(function)
         self._guard.is_script_running = False
+        self._memory_limit.end()
         asyncio._set_running_loop(loop)
         signal.setitimer(signal.ITIMER_REAL, 0)
         if self._guard.refused:
@@ -133,4 +141,6 @@
     def _on_alarm(self, _signal: int, _frame: FrameType | None) -> None:
         """Return to the caller, unless the call has returned already."""
         if self._caller is not None and getcurrent() is not self._caller:
+            self._guard.is_script_running = False
+            self._memory_limit.end()  # the switch itself may need memory
             self._caller.switch(_Abandoned())
--- a/umberlead/resource_limits.py
+++ b/umberlead/resource_limits.py
@@ -86,6 +86,8 @@
         count += 1  # its listener
     if conf.zones is not None and conf.zones.gossip is not None:
         count += 1  # gossip's socket
+    if conf.plugin_paths:
+        count += 1  # the process's size, read before each call of a script
     if conf.watched_lists is not None:
         count += 6  # inotify's 3, a file, the snapshot, one to spare
         if conf.watched_lists.gate_suite_path is not None:
