Let the garbage collector rest while a plug-in's code runs

What callers would see: memory that grows and may be overwritten, or a front that stands still.

Cause: a collection has its lists of objects on the stack. Left in the middle it is never taken up again, and the objects point to memory that has another use. A collection in the front also calls the finalizers that a disabled script has left in cycles, which may not return.

Change: the collector rests during a call and scripts may not call it; when a call fails, what exists then is left out of later collections. Scripts may not set tracing, profiling and audit hooks either.

--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -1,8 +1,10 @@
 """Operators' scripts whose hooks don't return, fail, or return what they should not."""
 
 import asyncio
+import gc
 import signal
 import time
+import weakref
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -21,6 +23,7 @@
 from umberlead.common.counters import Counters
 from umberlead.configuration import ConfigError
 from umberlead.plugins import PluginHooks
+from umberlead.plugins.hooks import DEFAULT_MAX_GROWTH_BYTES
 from umberlead.requests.types import Answer, AnswerKind, IncomingRequest, InFlightRequest
 from umberlead.scheduling.events import AttemptResult
 
@@ -67,14 +70,24 @@
 class LoadedScripts:
     """The hooks of scripts, with what was logged and counted."""
 
-    def __init__(self, folder: Path, *sources: str, timeout_us: int = HOOK_TIMEOUT_US) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *sources: str,
+        timeout_us: int = HOOK_TIMEOUT_US,
+        max_growth_bytes: int = DEFAULT_MAX_GROWTH_BYTES,
+    ) -> None:
         paths = [folder / f"script{number}.py" for number in range(len(sources))]
         for path, source in zip(paths, sources, strict=True):
             path.write_text(source)
         self.counters = Counters()
         self.log: list[dict[str, Any]] = []
         self.hooks = PluginHooks(
-            tuple(paths), timeout_us, self.counters, lambda event, **fields: self.log.append(fields)
+            tuple(paths),
+            timeout_us,
+            self.counters,
+            lambda event, **fields: self.log.append(fields),
+            max_growth_bytes=max_growth_bytes,
         )
         incoming = mock.Mock(spec=IncomingRequest, class_name="read", plan="gold", volume="v")
         incoming.key, incoming.shard, incoming.units = "k", 0, 1.0
@@ -103,6 +116,31 @@
     assert scripts.counters.report()["plugins_disabled"] == 1
 
 
+# Leaves reference cycles whose finalizers never return, with enough objects for many collections.
+CYCLES_BODY = (
+    "class Last:\n def __del__(self):\n  while True: pass\n"
+    "kept = []\nwhile True:\n last = Last()\n last.itself = last\n del last\n kept.append([])"
+)
+
+
+# Guards against a hook that is abandoned within a collection, after which no garbage is collected any more,
+# and against a collection that never ends as it calls finalizers of a script that is disabled.
+@pytest.mark.parametrize("hook", HOOKS, ids=[hook.partition("(")[0] for hook in HOOKS])
+@pytest.mark.parametrize("max_growth_bytes", [8 << 20, 1 << 30], ids=["out of memory", "abandoned"])
+def test_garbage_is_collected_after_a_script_is_disabled(
+    tmp_path: Path, hook: str, max_growth_bytes: int
+) -> None:
+    scripts = LoadedScripts(tmp_path, script(hook, CYCLES_BODY), max_growth_bytes=max_growth_bytes)
+    scripts.call_all()
+    assert scripts.counters.report()["plugins_disabled"] == 1
+    cycle = LoadedScripts(tmp_path)
+    cycle.log.append({"itself": cycle})
+    reference = weakref.ref(cycle)
+    del cycle
+    gc.collect()
+    assert gc.isenabled() and reference() is None
+
+
 # Guards against a start that hangs, or ends without a message, in a script's own code.
 @pytest.mark.parametrize("body", [ENDLESS["retries"], ENDLESS["sleep"]], ids=["retries", "sleep"])
 def test_script_that_does_not_end_is_an_error_that_names_its_key(tmp_path: Path, body: str) -> None:
@@ -185,6 +223,9 @@
     "fork": ("import os\nif not os.fork(): os._exit(0)", "called os.fork"),
     "program": ("import subprocess\nsubprocess.run(['true'])", "called subprocess."),
     "end of the process": ("import atexit\natexit.register(print)", "called atexit.register"),
+    "collection": ("import gc\ngc.collect()", "called gc.collect"),
+    "tracing": ("import sys\nsys.settrace(print)", "called sys.settrace"),
+    "profile": ("import sys\nsys.setprofile(print)", "called sys.setprofile"),
     "running loop": ("import asyncio\nasyncio.get_running_loop().stop()", "RuntimeError("),
 }
 
--- a/umberlead/plugins/hooks.py
+++ b/umberlead/plugins/hooks.py
@@ -135,6 +135,7 @@
         """Pass the outcome of an attempt to the scripts."""
 
         def call(hook: Callable[..., object]) -> None:
+            """Call a hook for outcomes."""
             outcome = {
                 "node": endpoint,
                 "result": result.value,
@@ -150,6 +151,7 @@
         """Pass a request's final answer to the scripts, and log it if answers are traced."""
 
         def call(hook: Callable[..., object]) -> None:
+            """Call a hook for answers."""
             answer_fields = {
                 "kind": answer.kind.value,
                 "reason": answer.reason,
--- a/umberlead/plugins/interruptible_call.py
+++ b/umberlead/plugins/interruptible_call.py
@@ -4,11 +4,15 @@
 signal's handler, which runs on top of it, switches back to the caller. The call is not resumed, so it makes
 no difference whether it would catch an exception or wait in a system call.
 
+The garbage collector does not run during a call: a collection has its lists of objects on the stack, so one
+that is left in the middle would never be taken up again, and would leave pointers to memory with another use.
+
 Only a call of C code that never checks for signals can't be interrupted.
 """
 
 import asyncio
 import ctypes
+import gc
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -94,9 +98,11 @@
         loop = asyncio._get_running_loop()
         asyncio._set_running_loop(None)  # so that the call can't stop it or give it tasks
         self._memory_limit.begin()
+        gc.disable()
         self._guard.is_script_running = True
         outcome = self._worker.switch(function)
         self._guard.is_script_running = False
+        gc.enable()
         self._memory_limit.end()
         asyncio._set_running_loop(loop)
         signal.setitimer(signal.ITIMER_REAL, 0)
@@ -104,6 +110,8 @@
             outcome = self._refused_outcome(outcome)
         if isinstance(outcome, _Returned):
             return outcome.value
+        # Collections leave out what the call has left in reference cycles: its finalizers may not return.
+        gc.freeze()
         if isinstance(outcome, _Raised):
             raise CallFailedError(outcome.description)
         self._abandon_worker()
--- a/umberlead/plugins/process_functions.py
+++ b/umberlead/plugins/process_functions.py
@@ -52,9 +52,16 @@
     "_posixsubprocess": ("fork_exec",),
     "subprocess": ("_fork_exec",),
     "atexit": ("register",),
-    "gc": ("disable", "freeze", "set_threshold"),
+    "gc": ("collect", "disable", "enable", "freeze", "set_threshold", "unfreeze"),
     "resource": ("prlimit", "setrlimit"),
-    "sys": ("setrecursionlimit", "setswitchinterval"),
+    "sys": (
+        "addaudithook",
+        "set_asyncgen_hooks",
+        "setprofile",
+        "setrecursionlimit",
+        "setswitchinterval",
+        "settrace",
+    ),
 }
 
 
@@ -88,6 +95,7 @@
     def _guarded(self, original: Callable[..., Any], full_name: str) -> Callable[..., Any]:
         @functools.wraps(original)
         def guarded(*args: Any, **kwargs: Any) -> Any:
+            """Call the function, unless a script does."""
             if self.is_script_running and threading.get_ident() == self._thread_id:
                 self.refused.append(full_name)
                 raise ProcessFunctionError(f"{full_name} acts on the whole process")
