Let the endless hooks of the plug-in tests catch what is raised in them

Change: locks, receiving, regular expressions, powers and comparisons are tried again after any exception.

Now all 36 cases pass.

--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -31,19 +31,27 @@
 LONG_TIMEOUT_US = 5_000_000  # for hooks that fail by themselves
 BOUND_SECONDS = 1.0  # of a hook that is abandoned after 2 x 100 ms, on a busy machine
 HOOKS = ("request_taken(request)", "outcome(request, outcome)", "answer(request, answer)")
-# Bodies of hooks that never return, and catch what is raised in them.
+# Bodies of hooks that never return; most catch what is raised in them. A loop of jumps alone can't, as no
+# handler covers it.
 ENDLESS = {
     "loop": "while True: pass",
     "retries": "while True:\n try:\n  while True: sum(range(9))\n except BaseException: pass",
-    "finally": "try:\n while True: pass\nfinally:\n while True: pass",
+    "finally": "try:\n while True: sum(range(9))\nfinally:\n while True: sum(range(9))",
     "sleep": "import time\nwhile True:\n try: time.sleep(60)\n except BaseException: pass",
-    "lock": "import threading\nlock = threading.Lock()\nlock.acquire()\nlock.acquire()",
-    "receive": "import socket\na, b = socket.socketpair()\na.recv(1)",
+    "lock": (
+        "import threading\nlock = threading.Lock()\nlock.acquire()\nwhile True:\n"
+        " try: lock.acquire()\n except BaseException: pass"
+    ),
+    "receive": (
+        "import socket\na, b = socket.socketpair()\nwhile True:\n try: a.recv(1)\n except BaseException: pass"
+    ),
     "read": "import os\nos.read(os.pipe()[0], 1)",
-    "regular expression": 'import re\nre.match("(a+)+$", "a" * 60 + "b")',
-    "power": "10 ** (10 ** 9)",
+    "regular expression": (
+        'import re\nwhile True:\n try: re.match("(a+)+$", "a" * 60 + "b")\n except BaseException: pass'
+    ),
+    "power": "while True:\n try: 10 ** (10 ** 9)\n except BaseException: pass",
     "comparison": (
-        "class Key:\n def __lt__(self, other):\n  while True:\n   try:\n    while True: pass\n"
+        "class Key:\n def __lt__(self, other):\n  while True:\n   try:\n    while True: sum(range(9))\n"
         "   except BaseException: pass\nsorted([Key(), Key()])"
     ),
     "finalizer": "class Last:\n def __del__(self):\n  while True: pass\nLast()",
