--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -53,7 +53,9 @@
         pool.lifecycle.attempt_ended = self._attempt_ended
         self.endpoint = EndpointConnection(pool, ("127.0.0.1", 1))
         self.endpoint.transport, self.endpoint.written = self._transport(), True
-        incoming_request = mock.Mock(accepts_stream=True, payload=OutgoingRequest(b"GET", b"/a", []))
+        incoming_request = mock.Mock(
+            accepts_stream=True, call_id=b"call-1", payload=OutgoingRequest(b"GET", b"/a", [])
+        )
         self.endpoint.attempt = Attempt(
             mock.Mock(incoming=incoming_request, answered=False), 0, "n0", T0, T0 + 10**6
         )
@@ -102,6 +104,19 @@
         client.abort.assert_called_once()
         self.assertNotIn(b"0\r\n\r\n", self._written_bytes()[-5:])
 
+    # Guards against a cut answer of which the log says neither whose it was nor why it ended.
+    def test_aborted_response_is_logged_with_its_ids_and_reason(self) -> None:
+        self.endpoint.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n" + BODY)
+        self.now += 1_500_000
+        self.endpoint.connection_lost(None)
+        pool: Any = self.endpoint.pool
+        event, fields = pool.log.call_args.args[0], pool.log.call_args.kwargs
+        self.assertEqual(event, "response_stream_aborted")
+        self.assertEqual((fields["call"], fields["endpoint"]), ("call-1", "n0"))
+        self.assertEqual((fields["reason"], fields["forwarded_bytes"]), ("endpoint_closed", len(BODY)))
+        self.assertEqual((fields["silent_ms"], fields["past_deadline_ms"]), (1500, 500))
+        self.assertEqual(self.counters["node_answers_broke_off_endpoint_closed"], 1)
+
     def test_interim_response_does_not_begin_the_answer(self) -> None:
         """An overdue attempt may still be cancelled then."""
         self.endpoint.data_received(b"HTTP/1.1 102 Processing\r\n\r\n")
--- a/umberlead/net/endpoint_connection.py
+++ b/umberlead/net/endpoint_connection.py
@@ -10,7 +10,12 @@
 
 from umberlead.common.timer_wheel import Timer
 from umberlead.configuration import Address
-from umberlead.net.attempt_log import log_connection_failure, log_early_end
+from umberlead.net.attempt_log import (
+    AttemptIds,
+    log_connection_failure,
+    log_early_end,
+    log_stream_at_deadline,
+)
 from umberlead.net.bounded_reads import BoundedReadProtocol
 from umberlead.net.endpoint_protocol import (
     PROTOCOL_HEADERS,
@@ -24,6 +29,7 @@
 from umberlead.net.socket_state import SocketState
 from umberlead.net.streaming import (
     SERVER_PAUSE_TIMEOUT_US,
+    AbortReason,
     ResponseStream,
     is_long_response,
     is_small_response,
@@ -205,7 +211,7 @@
     def _response_malformed(self) -> None:
         """Fail the response, or abort it if the malformed input has started its stream."""
         if self.stream is not None and self.streaming:
-            self.stream.abort()
+            self.stream.abort(AbortReason.MALFORMED)
         else:
             self.response_failed("malformed")
 
@@ -235,7 +241,7 @@
         self.pool.remove(self)
         self.broke_early = not self.connect_error  # a connection established after its timeout did not break
         if self.stream is not None and self.streaming:
-            self.stream.abort()
+            self.stream.abort(AbortReason.ENDPOINT_CLOSED)
         if self.attempt is not None:
             # A stale pooled connection ends here too: the endpoint may have read a request written to it.
             self.end_attempt(AttemptResult.RESET if self.written else AttemptResult.CONNECT_FAILED)
@@ -305,6 +311,8 @@
         if response.last_received_us + SERVER_PAUSE_TIMEOUT_US <= self.pool.clock():
             return False
         self.pool.counters.add("node_answers_at_deadline")
+        silent_us = self.pool.clock() - response.last_received_us
+        log_stream_at_deadline(self.pool.log, AttemptIds.of(attempt), response.body_bytes, silent_us)
         self._start_stream()
         return True
 
@@ -316,7 +324,7 @@
         attempt = self.attempt
         reply = self._decode_response()
         assert attempt is not None
-        self.stream = ResponseStream(self, self.pool, self.response.body_bytes)
+        self.stream = ResponseStream(self, self.pool, self.response.body_bytes, AttemptIds.of(attempt))
         reply.stream = self.stream
         reply.body_length = self.response.content_length
         self.response.release_body()
--- a/umberlead/net/endpoint_pool.py
+++ b/umberlead/net/endpoint_pool.py
@@ -10,6 +10,7 @@
 from umberlead.configuration import Address
 from umberlead.net.dialing import CONNECT_TIMEOUT_MULTIPLIER, Dialer
 from umberlead.net.endpoint_connection import EndpointConnection
+from umberlead.net.streaming import AbortReason
 from umberlead.requests.lifecycle import RequestLifecycle
 from umberlead.requests.send_guard import Denial
 from umberlead.requests.types import Attempt
@@ -272,6 +273,6 @@
         """Close all connections; clients of streamed responses notice at once that these are incomplete."""
         for conn in self.slots:
             if conn.stream is not None and conn.streaming:
-                conn.stream.abort()
+                conn.stream.abort(AbortReason.PROCESS_EXIT)
             else:
                 conn.close()
--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol, TypeAlias
+from enum import Enum
+from typing import Any, Protocol, TypeAlias
 
 from umberlead.common.counters import Counters
 from umberlead.common.timer_wheel import Timer, TimerWheel
+from umberlead.net.attempt_log import AttemptIds, StreamProgress, log_stream_abort
 from umberlead.resource_limits import MAX_BODY_BYTES
 
 STREAM_IDLE_TIMEOUT_US = 10_000_000  # without progress, after which a streamed response is aborted
@@ -22,6 +24,17 @@
 StreamEvictionKey: TypeAlias = tuple[bool, int]  # whether the length is known, the deadline in microseconds
 
 
+class AbortReason(Enum):
+    """Why a streamed response was aborted; the values are names of counters and appear in the log."""
+
+    ENDPOINT_CLOSED = "endpoint_closed"  # its connection ended, or broke, before the end of the response
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    ENDPOINT_SILENT = "endpoint_silent"
+    EVICTED = "evicted"  # its slot was needed for another connection
+    PROCESS_EXIT = "process_end"
+
+
 class BodySink(Protocol):
     """Forwards a streamed response as it is received."""
 
@@ -56,6 +69,7 @@
     clock: Callable[[], int]
     wheel: TimerWheel
     counters: Counters
+    log: Callable[..., Any]
 
 
 class StreamOwner(Protocol):
@@ -106,10 +120,13 @@
         paused: reading is paused until the reader accepts more.
     """
 
-    def __init__(self, owner: StreamOwner, pool: StreamingPool, forwarded_bytes: int) -> None:
-        """Start after the first `forwarded_bytes` of the body, which are in the attempt's reply."""
+    def __init__(
+        self, owner: StreamOwner, pool: StreamingPool, forwarded_bytes: int, attempt: AttemptIds
+    ) -> None:
+        """Start after the first `forwarded_bytes` of the body, which are in the reply of `attempt`."""
         self._owner = owner
         self._pool = pool
+        self._attempt = attempt
         self.sink: BodySink | None = None
         self.deadline_us = 0
         self.forwarded_bytes = forwarded_bytes
@@ -132,7 +149,7 @@
         if response.feed(data, now_us):
             self.read_ended()
         else:
-            self.abort()
+            self.abort(AbortReason.MALFORMED)
 
     def read_ended(self) -> None:
         """Forward what one read has brought, in one write, and end the stream if it has ended."""
@@ -140,7 +157,7 @@
         if response.complete:
             self.finish()
         elif exceeds_stream_limit(self.forwarded_bytes):  # Content-Length was checked with the headers
-            self.abort()
+            self.abort(AbortReason.TOO_LARGE)
         else:
             self._flush()
 
@@ -171,16 +188,29 @@
         if sink is not None:
             sink.finish()
 
-    def abort(self) -> None:
+    def abort(self, reason: AbortReason) -> None:
         """Abort the stream: its remainder will not be received."""
         self._flush()
         sink = self.sink
         self.sink = None
         self._pool.counters.add("node_answers_broke_off")
+        self._pool.counters.add(f"node_answers_broke_off_{reason.value}")
+        log_stream_abort(self._pool.log, self._attempt, reason.value, self._progress())
         self._owner.close()
         if sink is not None:
             sink.abort()
 
+    def _progress(self) -> StreamProgress:
+        now_us = self._pool.clock()
+        response = self._owner.response
+        return StreamProgress(
+            forwarded_bytes=self.forwarded_bytes,
+            content_length=response.content_length,
+            silent_us=now_us - response.last_received_us,
+            past_deadline_us=now_us - self.deadline_us,
+            reader_paused=self.paused,
+        )
+
     def _check_at(self, at_us: int) -> None:
         self._owner.timer = self._pool.wheel.call_at(at_us, self._check)
 
@@ -192,7 +222,7 @@
         now_us = self._pool.clock()
         due_us = now_us + STREAM_IDLE_TIMEOUT_US if self.paused else self._silence_limit_us()
         if due_us <= now_us:
-            self.abort()
+            self.abort(AbortReason.ENDPOINT_SILENT)
         else:
             self._check_at(due_us)
 
@@ -235,7 +265,7 @@
     def evict(self) -> None:
         """Abort the stream to free its connection's slot."""
         self._pool.counters.add("node_answers_gave_way")
-        self.abort()
+        self.abort(AbortReason.EVICTED)
 
     def set_paused(self, paused: bool) -> None:
         """Pause reading while the reader accepts no more, or resume it."""
