Show that long answers are cut off while their servers write them

What callers see: an answer over 64 KiB, or of no told length, that its server sends in lumps 0.5 to 1.4 s apart is closed by the front 0.65 s after a lump or at its request's time, with a 503 where nothing was passed on.

The judge counts a cut by its records alone: no limit of the program, and excused only by a fault at that very server or front that ends connections (a fault anywhere within 8 s excused it before), or by the end of the front's process. An answer that may be long and began in time may end late. Clients wait for an answer that has begun.

Checks changed: a stop of any front within 8 s no longer excuses a cut; the end of that very process does.

--- a/tests/loaded_front.py
+++ b/tests/loaded_front.py
@@ -278,13 +278,15 @@
     async def open(cls, port: int, **options: Any) -> "Connection":
         return cls(*await asyncio.open_connection(HOST, port, **options))
 
-    async def call(self, call: Call, class_name: str, block: str, body: bytes | None = None) -> None:
-        """Send a request and read its whole answer; raises TimeoutError 2 s after its time."""
+    async def call(
+        self, call: Call, class_name: str, block: str, body: bytes | None = None, grace_seconds: float = 2.0
+    ) -> None:
+        """Send a request and read its whole answer; raises TimeoutError `grace_seconds` after its time."""
         self.writer.write(request(call.call_id, class_name, block, call.budget, body))
         if body is not None:
             await self.writer.drain()
         call.sent = time.monotonic()
-        async with asyncio.timeout(call.budget + 2.0):
+        async with asyncio.timeout(call.budget + grace_seconds):
             await self.read_answer(call)
 
     async def read_answer(self, call: Call) -> None:
--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 import socket
 import time
 from pathlib import Path
@@ -16,6 +17,7 @@
     Call,
     Connection,
     Script,
+    ScriptedEndpoint,
     loaded_front,
     settings,
 )
@@ -107,6 +109,98 @@
     run_on_uvloop(test())
 
 
+async def call_slow_endpoint(
+    endpoint: ScriptedEndpoint, port: int, call: Call, class_name: str, script: Script
+) -> None:
+    """Send a request that `script` answers, and wait for its end, however late it comes."""
+    endpoint.scripts[call.call_id[:2]] = script
+    connection = await Connection.open(port)
+    body = b"" if class_name == UNSAFE_CLASS else None
+    block = f"{call.call_id[:2]:0<16}"
+    await connection.call(call, class_name, block, body, grace_seconds=20.0)
+    connection.writer.close()
+
+
+# Guards against long answers that the front cuts off at or past their time while their server sends them.
+@pytest.mark.parametrize(
+    ("first_pause", "pause", "budget"),
+    [(0.71, 0.72, 0.721), (0.69, 0.82, 0.782), (0.0, 0.78, 0.718), (0.0, 0.72, 0.449), (1.4, 1.4, 0.45)],
+    ids=["report 1", "report 2", "report 2, head with a lump", "report 3", "longest pauses"],
+)
+def test_long_answer_in_lumps_comes_whole_however_late(
+    tmp_path: Path, first_pause: float, pause: float, budget: float
+) -> None:
+    async def test() -> None:
+        async with loaded_front(tmp_path) as (front, endpoint, port):
+            calls = []
+            tasks = []
+            for number, (framing, class_name) in enumerate(
+                itertools.product(FRAMINGS, (SAFE_CLASS, UNSAFE_CLASS))
+            ):
+                made = Call(f"c{number}-{framing}", budget, time.monotonic())
+                calls.append(made)
+                script = answer_script(framing, LONG_BYTES, first_pause, pause, 3)
+                tasks.append(call_slow_endpoint(endpoint, port, made, class_name, script))
+            await asyncio.gather(*tasks, return_exceptions=True)
+            counters = await front.counters()
+            ended = [(c.call_id, c.status, c.body_bytes) for c in calls]
+            assert ended == [(c.call_id, 200, LONG_BYTES) for c in calls], counters
+            begun_late = [c for c in calls if c.first_byte > c.sent + budget + LATE_SECONDS]
+            assert not begun_late, begun_late
+            assert len(endpoint.runs) == len(calls), "no attempt is made twice"
+
+    run_on_uvloop(test())
+
+
+# Guards against an answer that the front cuts off as the front itself was held up and has not read it.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("size", [LONG_BYTES, SHORT_BYTES], ids=["long", "short"])
+def test_answer_that_came_while_the_front_was_held_up_is_passed_on(
+    tmp_path: Path, framing: str, size: int
+) -> None:
+    """The front is stopped from before the head until 0.3 s past the request's time."""
+
+    async def test() -> None:
+        async with loaded_front(tmp_path) as (front, endpoint, port):
+            call = Call("c0", 0.6, time.monotonic())
+            delayed = answer_script(framing, size, 0.0, 0.0, 1)
+
+            async def script(transport: asyncio.Transport) -> None:
+                await asyncio.sleep(0.2)
+                await delayed(transport)
+
+            made = call_slow_endpoint(endpoint, port, call, SAFE_CLASS, script)
+            task = asyncio.get_running_loop().create_task(made)
+            while not endpoint.runs:
+                await asyncio.sleep(0.001)
+            front.child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.9)
+            front.child.send_signal(signal.SIGCONT)
+            await task
+            assert (call.status, call.body_bytes) == (200, size), await front.counters()
+            assert len(endpoint.runs) == 1
+
+    run_on_uvloop(test())
+
+
+# Guards against a long answer that the front cuts off at its time because the front has begun to stop.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_long_answer_in_lumps_comes_whole_though_the_front_stops(tmp_path: Path, framing: str) -> None:
+    async def test() -> None:
+        async with loaded_front(tmp_path) as (front, endpoint, port):
+            call = Call("c0", 0.5, time.monotonic())
+            script = answer_script(framing, LONG_BYTES, 0.7, 0.4, 3)
+            made = call_slow_endpoint(endpoint, port, call, SAFE_CLASS, script)
+            task = asyncio.get_running_loop().create_task(made)
+            while not endpoint.runs:
+                await asyncio.sleep(0.001)
+            front.child.send_signal(signal.SIGTERM)
+            await asyncio.gather(task, return_exceptions=True)
+            assert (call.status, call.body_bytes) == (200, LONG_BYTES), front.log.read_text()[-2000:]
+
+    run_on_uvloop(test())
+
+
 # Guards against an overdue attempt that is cancelled while its answer comes in.
 def test_attempt_whose_answer_has_begun_is_not_cancelled(tmp_path: Path) -> None:
     changed = settings()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak test: its judge, its plan, its results, and short runs with fixed seeds."""
 
+import random
 from collections import Counter
 from dataclasses import replace
 from pathlib import Path
@@ -16,6 +17,7 @@
 from umberlead.testing.soak.results import add_result, played_seeds, read_results, table
 from umberlead.testing.soak.run import play
 from umberlead.testing.soak.scenario import kill_delay_seconds
+from umberlead.testing.soak.slow_answers import answer_in_lumps
 from umberlead.testing.soak.verdict import Verdict
 
 SECOND = 1_000_000_000
@@ -132,8 +134,40 @@
         rules(clients=[client()], nodes=[node(closed=int(10.95 * SECOND), cut=True)]) == []
     )  # its time is over
     assert rules(clients=[client(end="left")], nodes=[cut]) == []
-    for what in ("link_reset", "front_restart", "node_kill"):
-        assert rules(clients=[client()], nodes=[cut], events=[Event(9 * SECOND, what, "0")]) == [], what
+    at = cut.closed - 1
+    for what, who in (("link_reset", "0"), ("front_ended", "f0"), ("node_kill", "0"), ("front_killed", "f0")):
+        assert rules(clients=[client()], nodes=[cut], events=[Event(at, what, who)]) == [], what
+        for other in (Event(at, what, who.replace("0", "1")), Event(at - 2 * SECOND, what, who)):
+            assert rules(clients=[client()], nodes=[cut], events=[other]) == ["cut_off"], other
+
+
+# Guards against a judge that excuses a cut by the limits of the program that it judges.
+def test_judge_finds_long_answer_that_a_front_cut_off_at_or_past_its_time() -> None:
+    for closed in (10.4, 10.95, 11.6, 20.0):
+        cut = node(closed=int(closed * SECOND), cut=True, long=True)
+        begun = client(begun=int(10.3 * SECOND), end="eof", ended=int(closed * SECOND))
+        assert rules(clients=[begun], nodes=[cut]) == ["lost", "cut_off"], closed
+        assert rules(clients=[client(status=503)], nodes=[cut]) == ["cut_off"], closed
+        assert rules(clients=[client(end="left")], nodes=[cut]) == []
+    late_head = node(first=10.95, budget=0.05, closed=11 * SECOND, cut=True, long=True)
+    assert rules(clients=[client(status=503)], nodes=[late_head]) == []  # the front may not have had it
+
+
+def test_judge_allows_a_long_answer_that_ends_late_if_it_began_in_time() -> None:
+    late = client(begun=11 * SECOND, ended=15 * SECOND)
+    whole = node(closed=15 * SECOND, long=True)
+    assert rules(clients=[late], nodes=[whole]) == []
+    assert rules(clients=[client(ended=15 * SECOND)], nodes=[whole]) == ["lost"]  # begun too late
+    assert rules(clients=[late], nodes=[node(closed=15 * SECOND)]) == ["lost"]  # known to be small
+
+
+def test_slow_answers_of_servers_can_be_as_slow_as_the_reports() -> None:
+    chance = random.Random(1)
+    drawn = [answer_in_lumps(chance, "a") for _ in range(60)]
+    assert all(answer.may_be_long for answer in drawn)
+    longest = max(seconds for answer in drawn for seconds, _ in answer.pieces)
+    assert 1.3 < longest <= 1.4 and {answer.closes for answer in drawn} == {True, False}
+    assert any(answer.pieces[0][0] > 0.7 for answer in drawn)  # the head long before the first lump
 
 
 def test_judge_finds_overloaded_cold_server() -> None:
--- a/umberlead/testing/soak/client.py
+++ b/umberlead/testing/soak/client.py
@@ -26,6 +26,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 RESET_CHECK_SECONDS = 0.05  # after EOF; a reset in this time shows that the last data went unread
 ANSWER_GRACE_SECONDS = 1.5  # after a request's deadline, for which its answer is still awaited
+BEGUN_ANSWER_SECONDS = 12.0  # after a request's deadline, for which an answer that comes is awaited
 CONNECT_SECONDS = 2.0
 MAX_PIPELINED = 5
 CLIENT_RATE = 4.0  # requests per second of one client
@@ -76,6 +77,7 @@
     end: str = "open"
     status: int = 0
     sound: bool = True
+    begun: int = 0
     done: asyncio.Event = field(default_factory=asyncio.Event)
 
     def finish(self, end: str, status: int = 0, sound: bool = True) -> None:
@@ -115,6 +117,11 @@
             self._end("spoilt")
             self.transport.abort()
 
+    def on_headers_complete(self) -> None:
+        """Record when the answer to the oldest open request began."""
+        if self.waiting and self._parser.get_status_code() >= 200:
+            self.waiting[0].begun = time.monotonic_ns()
+
     def on_body(self, body: bytes) -> None:
         """Append a piece of an answer's body."""
         self._body += body
@@ -237,6 +244,7 @@
                 sent.end,
                 sent.status,
                 sent.sound,
+                sent.begun,
             )
         )
 
@@ -307,20 +315,22 @@
         if kind is Kind.LEAVER:
             await self._disconnect_early(connection, sent[0])
         for request in sent:
-            await self._wait(request)
+            await self._wait(request, connection)
             self.record_request(front, kind, connection, request)
 
-    async def _wait(self, request: Sent) -> None:
-        """Wait for an answer until ANSWER_GRACE_SECONDS after the request's deadline."""
-        if request.done.is_set():
-            return
-        elapsed = (time.monotonic_ns() - (request.sent_last or request.sent_first)) / 1e9
-        left = max(request.budget + ANSWER_GRACE_SECONDS - elapsed, 0.01)
-        try:
-            async with asyncio.timeout(left):
-                await request.done.wait()
-        except TimeoutError:
-            pass
+    async def _wait(self, request: Sent, connection: Connection) -> None:
+        """Wait for an answer until ANSWER_GRACE_SECONDS after its deadline, longer for one that has begun."""
+        for grace_seconds in (ANSWER_GRACE_SECONDS, BEGUN_ANSWER_SECONDS):
+            if request.done.is_set():
+                return
+            elapsed = (time.monotonic_ns() - (request.sent_last or request.sent_first)) / 1e9
+            left = max(request.budget + grace_seconds - elapsed, 0.01)
+            try:
+                async with asyncio.timeout(left):
+                    await request.done.wait()
+            except TimeoutError:
+                if not (connection.waiting and connection.waiting[0].begun):
+                    return
 
     async def _send_half(self, connection: Connection, data: bytes) -> None:
         connection.transport.write(data[: self.chance.randrange(1, len(data))])
--- a/umberlead/testing/soak/judge.py
+++ b/umberlead/testing/soak/judge.py
@@ -16,25 +16,10 @@
 MACHINE_SLACK_NS = 120 * MS  # unnoticed lateness allowed to a process of the test itself
 KILL_SLACK_NS = 400 * MS  # around a kill, in which it explains a broken connection
 CROWD_SLACK_NS = 500 * MS  # after a crowd, until its last connection is closed
-CUT_FAULT_NS = 8000 * MS  # before an attempt, in which a fault that lasts explains its end
-# Faults that may end a connection to a chunk server, or the process that has it.
-EXPLAINS_CUT_ANSWERS = frozenset(
-    (
-        "link_reset",
-        "link_stall",
-        "connections_break",
-        "node_kill",
-        "front_killed",
-        "front_restart",
-        "front_kill",
-        "front_handover",
-        "front_term_twice",
-        "front_reload_and_term",
-        "front_term_early",
-        "front_term_both",
-        "front_handover_twice",
-    )
-)
+# Faults at a chunk server, or at the link to it, that may end a connection to it or delay what it sends.
+ENDS_ANSWERS_AT_NODE = frozenset(("link_reset", "link_stall", "link_pieces", "node_kill"))
+# Events at a front that end its connections to chunk servers.
+ENDS_ANSWERS_AT_FRONT = frozenset(("connections_break", "front_killed", "front_ended"))
 # Faults that break connections to chunk servers off.
 BREAKS_ANSWERS = frozenset(("link_reset", "node_kill", "connections_break"))
 LINK_SLACK_NS = 300 * MS  # after a link fault, in which delayed data still arrives
@@ -112,6 +97,22 @@
     return found
 
 
+def _explains_end(event: Event, row: NodeRecord, front: str) -> bool:
+    """Return whether an event ended the answer of an attempt of `front`, or delayed it, or may have."""
+    at_node = event.what in ENDS_ANSWERS_AT_NODE and event.who == _slot(row.node)
+    at_front = event.what in ENDS_ANSWERS_AT_FRONT and event.who.removeprefix("f") == front.removeprefix("f")
+    end = event.at + int(event.value * 1e9) + KILL_SLACK_NS
+    if event.what in ("link_stall", "link_pieces"):
+        return at_node and event.at <= row.closed and row.first <= end
+    return (at_node or at_front) and event.at - KILL_SLACK_NS <= row.closed <= end
+
+
+def _long_answer_connections(evidence: Evidence) -> set[tuple[str, int]]:
+    """Return the clients' connections, by front and time, on which a long answer came slowly."""
+    long_ids = {row.id for row in evidence.nodes if row.long}
+    return {(row.front, row.connected) for row in evidence.clients if row.id in long_ids and row.begun}
+
+
 def _broken_connections(evidence: Evidence) -> dict[tuple[str, int], int]:
     """Return the clients' connections on which an answer broke off at its server, and when.
 
@@ -123,26 +124,48 @@
         for event in evidence.events
         if event.what in BREAKS_ANSWERS
     ]
+    fronts = {row.id: row.front for row in evidence.clients if row.begun}
+    ends = [event for event in evidence.events if event.what == "front_ended"]
     cut = {
         row.id: row.closed
         for row in evidence.nodes
-        if row.cut and any(begin <= row.closed <= end for begin, end in faults)
+        if row.cut
+        and (
+            any(begin <= row.closed <= end for begin, end in faults)
+            or (row.id in fronts and any(_explains_end(event, row, fronts[row.id]) for event in ends))
+        )
     }
     return {(row.front, row.connected): cut[row.id] for row in evidence.clients if row.id in cut}
 
 
+def _is_answered_in_time(row: ClientRecord, due: int, long_connections: set[tuple[str, int]]) -> bool:
+    """Return whether a request was answered by `due`, or waits for a long answer that began by then.
+
+    A long answer takes as long as its server does, and so do the answers behind it on its connection.
+    """
+    if row.end == "answered" and row.ended <= due:
+        return True
+    if (row.front, row.connected) not in long_connections or row.end not in ("answered", "open"):
+        return False
+    return row.behind > 0 or (row.end == "answered" and 0 < row.begun <= due)
+
+
 def find_lost_requests(evidence: Evidence) -> list[Violation]:
-    """Find requests sent completely without a final answer in time, unless their client caused that."""
+    """Find requests sent completely without a final answer in time, unless their client caused that.
+
+    A long answer that has begun in time may end late; `find_cut_answers` judges the end of its attempt.
+    """
     kills = _kill_times(evidence.events)
     crowds = _crowd_intervals(evidence.events)
     forwarded = {row.id for row in evidence.nodes}
     broken = _broken_connections(evidence)
+    long_connections = _long_answer_connections(evidence)
     found = []
     for row in evidence.clients:
         if not row.sent_last or row.end in ("left", "closing"):
             continue
         due = row.sent_last + int(row.budget * 1e9) + LATE_ANSWER_NS + MACHINE_SLACK_NS
-        if row.end == "answered" and row.ended <= due:
+        if _is_answered_in_time(row, due, long_connections):
             continue
         if row.end == "reset" and row.used > 0:
             continue  # it crossed the close of an idle connection, unread
@@ -271,19 +294,24 @@
 
 
 def find_cut_answers(evidence: Evidence) -> list[Violation]:
-    """Find sound answers that a front cut off while their server sent them, within the request's time."""
+    """Find sound answers that a front cut off while their server sent them.
+
+    One that is known to be small may be cut off at its request's time, since its client gets another final
+    answer then. One that may be long passes through, however long its server takes.
+    """
     clients = {row.id: row for row in evidence.clients}
-    faults = sorted(event.at for event in evidence.events if event.what in EXPLAINS_CUT_ANSWERS)
     found = []
     for row in evidence.nodes:
         client = clients.get(row.id)
-        if not row.cut or client is None or client.end == "left" or not client.sent_last:
+        if not row.cut or client is None or not client.sent_last or client.end in ("left", "open"):
             continue
         due = client.sent_last + int(client.budget * 1e9) - MACHINE_SLACK_NS
-        explained = any(row.first - CUT_FAULT_NS <= at <= row.closed + KILL_SLACK_NS for at in faults)
-        if row.closed < due and not explained:
+        head_in_time = client.begun > 0 or row.last < due
+        in_time = head_in_time if row.long else row.closed < due
+        if in_time and not any(_explains_end(event, row, client.front) for event in evidence.events):
             after = (row.closed - row.last) // MS
-            found.append(Violation("cut_off", f"{row.id} at {row.node}, {after} ms after its request came"))
+            what = f"{row.id} at {row.node}, {after} ms after its request came, of {client.budget} s"
+            found.append(Violation("cut_off", f"{what}; its client: {client.end} {client.status}"))
     return found
 
 
--- a/umberlead/testing/soak/node.py
+++ b/umberlead/testing/soak/node.py
@@ -13,13 +13,14 @@
 from umberlead.testing.soak.load_clients import HELD_BLOCK, LONG_BLOCK
 from umberlead.testing.soak.processes import Lateness, Orders, RequestReader
 from umberlead.testing.soak.records import NodeRecord, Writer
-from umberlead.testing.soak.slow_answers import slow_answer
+from umberlead.testing.soak.slow_answers import SlowAnswer, answer_in_lumps, slow_answer
 
 WORK_SECONDS = 0.004  # mean work of a unit
 IDLE_CLOSE_SECONDS = 3.0  # equals the keepalive of the settings
 LONG_ANSWER_BYTES = 1_000_000
 MIN_SLOW_BUDGET_SECONDS = 0.5  # with less time left, an answer is not sent slowly
 SLOW_SHARE = 0.6  # of the time that is left
+LUMPS_SHARE = 0.5  # of the slow answers, which take longer than that
 BODY_PADDING_BYTES = 64  # in an answer, after the request's id
 FLAWS = ("error", "spoilt", "unsized", "surplus", "interim", "full", "half")
 
@@ -61,6 +62,7 @@
         self.open: NodeRecord | None = None
         self._idle: asyncio.TimerHandle | None = None
         self._slow_task: asyncio.Task[None] | None = None
+        self._slow_answer: SlowAnswer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timer, which closes the connection after the keepalive."""
@@ -85,7 +87,9 @@
 
     def _close_record(self, is_cut: bool = False) -> None:
         row = self.open
+        is_long = self._slow_answer is not None and self._slow_answer.may_be_long
         self.open = None
+        self._slow_answer = None
         assert row is not None
         closed = NodeRecord(
             row.id,
@@ -99,6 +103,7 @@
             row.ran,
             time.monotonic_ns(),
             is_cut,
+            is_long,
         )
         self.node.record.add(closed)
 
@@ -137,14 +142,27 @@
         work = node.chance.expovariate(1 / (node.behaviour.work_seconds * row.units))
         if block.startswith(LONG_BLOCK):
             flaw = "long"
-        elif row.budget > MIN_SLOW_BUDGET_SECONDS and node.chance.random() < node.behaviour.slow_rate:
-            self._slow_task = asyncio.get_running_loop().create_task(self._answer_slowly(row))
-            return
+        elif node.chance.random() < node.behaviour.slow_rate:
+            answer = self._draw_slow_answer(row)
+            if answer is not None:
+                self._slow_task = asyncio.get_running_loop().create_task(self._answer_slowly(row, answer))
+                return
         asyncio.get_running_loop().call_later(work, self._answer, row, flaw)
 
-    async def _answer_slowly(self, row: NodeRecord) -> None:
-        """Send a sound answer in pieces, or its body late, within `SLOW_SHARE` of the time that is left."""
-        answer = slow_answer(self.node.chance, row.id, row.budget * SLOW_SHARE)
+    def _draw_slow_answer(self, row: NodeRecord) -> SlowAnswer | None:
+        """Return a sound answer that comes slowly; None if there is too little time for one that is in time.
+
+        One in lumps takes as long as it takes; any other is complete within `SLOW_SHARE` of the time left.
+        """
+        if self.node.chance.random() < LUMPS_SHARE:
+            return answer_in_lumps(self.node.chance, row.id)
+        if row.budget > MIN_SLOW_BUDGET_SECONDS:
+            return slow_answer(self.node.chance, row.id, row.budget * SLOW_SHARE)
+        return None
+
+    async def _answer_slowly(self, row: NodeRecord, answer: SlowAnswer) -> None:
+        """Send a sound answer in pieces, or its body late."""
+        self._slow_answer = answer
         self.transport.write(answer.head)
         for pause_seconds, piece in answer.pieces:
             await asyncio.sleep(pause_seconds)
--- a/umberlead/testing/soak/records.py
+++ b/umberlead/testing/soak/records.py
@@ -28,6 +28,7 @@
             connection) or "open" (no answer).
         status: status of the answer.
         sound: whether the body is the one that a chunk server produced for this request.
+        begun: when the head of its answer came; 0 if none did.
     """
 
     id: str
@@ -44,6 +45,7 @@
     end: str
     status: int = 0
     sound: bool = True
+    begun: int = 0
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
@@ -61,6 +63,8 @@
         ran: whether execution of the request began.
         closed: when its connection ended or the answer was written; 0 for neither.
         cut: whether its connection ended while its answer was being sent slowly.
+        long: whether that answer is longer than a body without a need to be passed on in pieces, or of no
+            told length.
     """
 
     id: str
@@ -74,6 +78,7 @@
     ran: bool
     closed: int = 0
     cut: bool = False
+    long: bool = False
 
 
 class Event(msgspec.Struct, frozen=True):
--- a/umberlead/testing/soak/run.py
+++ b/umberlead/testing/soak/run.py
@@ -228,6 +228,7 @@
             await process.process.wait()
             tail = process.log.read_text(errors="replace")[-1500:]
             self.add_violation("stands", f"{front.name} still ran at the earliest SIGKILL: {tail}")
+        self.record_event("front_ended", front.name)
         self._retire(front, process)
 
     async def crowd(self, front: Front, seconds: float) -> None:
