Let no timer end an answer that has begun, and pass it on from its request's time

Cause (lines at fault): ResponseStream._silence_limit_us ended a stream by the age of its last byte (0.65 s, twice the longest pause, 10 s), and EndpointConnection.stream_past_deadline timed an attempt out if its last byte was 0.65 s old or, while the process stops, if it was still small. From outside a pause is the same as a stall until the next byte, so no number is right. Ruled out: cancelled attempts, evictions, lists, signals (no such line or counter in the runs; the closes come at 0.65 s and at the request's time, to the millisecond).

Change: the timers are gone. At its request's time a 200 whose head is here and which is not known to have 64 KiB at most is passed on, also while the process stops. What the head says is small, or is no 200, or has no whole head, still gets its final answer at its time.

--- a/umberlead/net/endpoint_connection.py
+++ b/umberlead/net/endpoint_connection.py
@@ -28,14 +28,12 @@
 from umberlead.net.response_parser import ResponseParser
 from umberlead.net.socket_state import SocketState
 from umberlead.net.streaming import (
-    SERVER_PAUSE_TIMEOUT_US,
     AbortReason,
     ResponseStream,
     is_long_response,
     is_small_response,
 )
 from umberlead.requests.types import Attempt, Reply
-from umberlead.resource_limits import MAX_BODY_BYTES
 from umberlead.scheduling.events import AttemptResult
 from umberlead.scheduling.token_bucket import NEVER
 
@@ -52,7 +50,7 @@
         written: the kernel has accepted the whole request.
         write_paused: part of the request is still in the transport's write buffer.
         dial_task: the dial that establishes the connection.
-        timer: times out the dial, or a streamed response.
+        timer: times out the dial, or limits how long a part of a response is held back.
         slot: index among the pool's connections.
         state_since_us: when the dial started, then when it succeeded.
         race_count: how many times racing this dial was considered.
@@ -113,7 +111,7 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def cancel_timer(self) -> None:
-        """Stop the timer of the dial or of a streamed response."""
+        """Stop the timer of the dial, or of a response that is held back."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -294,28 +292,28 @@
             self.cancel_attempt(AttemptResult.ERROR)
 
     def stream_past_deadline(self) -> bool:
-        """Stream a response that may become a long one and still comes in, at its request's deadline.
+        """Stream a response that may become a long one, at its request's deadline.
 
-        A long response may be passed on past the deadline. Return False if the attempt is to be timed out,
-        so that the client of a response that has stopped gets a complete one.
+        Return False if the attempt is to be timed out: no response has begun, or the response is small or
+        does not serve the request, so that its client gets a complete one at the deadline.
         """
         attempt = self.attempt
-        response = self.response
-        if attempt is None or not self.written or not response.headers_complete or response.complete:
-            return False
-        if not self._can_stream(attempt) or is_small_response(response.content_length):
-            return False
-        may_be_small = response.content_length is None and response.body_bytes <= MAX_BODY_BYTES
-        if self.pool.buffers_responses and may_be_small:
-            return False
-        if response.last_received_us + SERVER_PAUSE_TIMEOUT_US <= self.pool.clock():
+        if attempt is None or not self._may_stream_incomplete(attempt):
             return False
+        response = self.response
         self.pool.counters.add("node_answers_at_deadline")
         silent_us = self.pool.clock() - response.last_received_us
         log_stream_at_deadline(self.pool.log, AttemptIds.of(attempt), response.body_bytes, silent_us)
         self._start_stream()
         return True
 
+    def _may_stream_incomplete(self, attempt: Attempt) -> bool:
+        """Return whether a part of a response may be passed on that may be long, and is not complete."""
+        response = self.response
+        if not self.written or not response.headers_complete or response.complete:
+            return False
+        return self._can_stream(attempt) and not is_small_response(response.content_length)
+
     def _decode_response(self) -> Reply:
         return decode_response(self.response.status, self.response.headers, bytes(self.response.body))
 
@@ -324,7 +322,9 @@
         attempt = self.attempt
         reply = self._decode_response()
         assert attempt is not None
-        self.stream = ResponseStream(self, self.pool, self.response.body_bytes, AttemptIds.of(attempt))
+        self.stream = ResponseStream(
+            self, self.pool, self.response.body_bytes, attempt.deadline_us, AttemptIds.of(attempt)
+        )
         reply.stream = self.stream
         reply.body_length = self.response.content_length
         self.response.release_body()
@@ -333,9 +333,7 @@
         self.cancel_timer()
         self.pool.counters.add("node_answers_long")
         self.pool.lifecycle.attempt_ended(attempt, AttemptResult.OK, reply)
-        if self.streaming:
-            self.stream.start(attempt.deadline_us)
-        else:
+        if not self.streaming:
             self.close()  # the client has disconnected
 
     def reuse(self) -> None:
--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -6,13 +6,9 @@
 from typing import Any, Protocol, TypeAlias
 
 from umberlead.common.counters import Counters
-from umberlead.common.timer_wheel import Timer, TimerWheel
 from umberlead.net.attempt_log import AttemptIds, StreamProgress, log_stream_abort
 from umberlead.resource_limits import MAX_BODY_BYTES
 
-STREAM_IDLE_TIMEOUT_US = 10_000_000  # without progress, after which a streamed response is aborted
-SERVER_PAUSE_TIMEOUT_US = 650_000  # limit on an endpoint's pause, at and past the request's deadline
-PAUSE_TOLERANCE_FACTOR = 2  # by which a pause may exceed the longest one before it in the same response
 # Age past its request's deadline at which a streamed response can be evicted when slots are short. One
 # without a length may never end; one with a length ends, however slow.
 UNSIZED_EVICTION_AGE_US = 10_000_000
@@ -30,7 +26,6 @@
     ENDPOINT_CLOSED = "endpoint_closed"  # its connection ended, or broke, before the end of the response
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
-    ENDPOINT_SILENT = "endpoint_silent"
     EVICTED = "evicted"  # its slot was needed for another connection
     PROCESS_EXIT = "process_end"
 
@@ -67,7 +62,6 @@
     """The part of the pool that a stream uses."""
 
     clock: Callable[[], int]
-    wheel: TimerWheel
     counters: Counters
     log: Callable[..., Any]
 
@@ -76,7 +70,6 @@
     """The part of the connection to the endpoint that a stream uses."""
 
     transport: asyncio.Transport | None
-    timer: Timer | None
     closed: bool
     written: bool
 
@@ -84,9 +77,6 @@
     def response(self) -> IncomingResponse:
         """The response that is being parsed."""
 
-    def cancel_timer(self) -> None:
-        """Stop the connection's timer."""
-
     def reuse(self) -> None:
         """Prepare for the next response, and return to the pool."""
 
@@ -113,6 +103,9 @@
 class ResponseStream:
     """Forwards the remainder of a streamed response from an endpoint to a sink.
 
+    No timer ends a stream: the pauses of an endpoint can't be told from a stall until its next byte. It ends
+    with the response, its connection, its reader, the process, or by eviction when slots are short.
+
     Attributes:
         sink: receives the remainder; None once it has ended or the reader has disconnected.
         deadline_us: the request's deadline, extended by the reader's pauses.
@@ -121,31 +114,28 @@
     """
 
     def __init__(
-        self, owner: StreamOwner, pool: StreamingPool, forwarded_bytes: int, attempt: AttemptIds
+        self,
+        owner: StreamOwner,
+        pool: StreamingPool,
+        forwarded_bytes: int,
+        deadline_us: int,
+        attempt: AttemptIds,
     ) -> None:
         """Start after the first `forwarded_bytes` of the body, which are in the reply of `attempt`."""
         self._owner = owner
         self._pool = pool
         self._attempt = attempt
         self.sink: BodySink | None = None
-        self.deadline_us = 0
+        self.deadline_us = deadline_us
         self.forwarded_bytes = forwarded_bytes
         self.paused = False
         self._paused_since_us = 0
-        self._longest_pause_us = 0  # of the endpoint, between two reads
         self._pieces: list[bytes] = []  # of the read that is being parsed
 
-    def start(self, deadline_us: int) -> None:
-        """Start the timeouts of the stream, which has a sink now."""
-        self.deadline_us = deadline_us
-        now_us = self._pool.clock()
-        self._check_at(min(now_us + STREAM_IDLE_TIMEOUT_US, deadline_us))
-
     def feed(self, data: bytes) -> None:
         """Parse input and forward the body."""
         response = self._owner.response
         now_us = self._pool.clock()
-        self._longest_pause_us = max(self._longest_pause_us, now_us - response.last_received_us)
         if response.feed(data, now_us):
             self.read_ended()
         else:
@@ -179,7 +169,6 @@
         owner = self._owner
         sink = self.sink
         self.sink = None
-        owner.cancel_timer()
         if owner.response.reusable and owner.written:
             self.set_paused(False)
             owner.reuse()
@@ -211,42 +200,6 @@
             reader_paused=self.paused,
         )
 
-    def _check_at(self, at_us: int) -> None:
-        self._owner.timer = self._pool.wheel.call_at(at_us, self._check)
-
-    def _check(self) -> None:
-        """Abort a response whose endpoint has stopped sending; the connection detects a stalled reader.
-
-        A response that progresses continues, even past the request's deadline.
-        """
-        now_us = self._pool.clock()
-        due_us = now_us + STREAM_IDLE_TIMEOUT_US if self.paused else self._silence_limit_us()
-        if due_us <= now_us:
-            self.abort(AbortReason.ENDPOINT_SILENT)
-        else:
-            self._check_at(due_us)
-
-    def _silence_limit_us(self) -> int:
-        """Return until when the endpoint may stay silent.
-
-        The client of a response that may be small waits for the last byte: any silence may last until the
-        deadline, or as long as a pause may if that ends later. So may a silence in a longer one that began
-        before the deadline; one that began past it may last for `STREAM_IDLE_TIMEOUT_US`.
-        """
-        response = self._owner.response
-        silent_since_us = response.last_received_us
-        limit_us = silent_since_us + STREAM_IDLE_TIMEOUT_US
-        size_bytes = response.content_length or self.forwarded_bytes  # so far, where the length is unknown
-        if size_bytes <= MAX_BODY_BYTES:
-            return min(limit_us, max(silent_since_us + SERVER_PAUSE_TIMEOUT_US, self.deadline_us))
-        if silent_since_us <= self.deadline_us:
-            return min(limit_us, max(silent_since_us + self._max_pause_us(), self.deadline_us))
-        return limit_us
-
-    def _max_pause_us(self) -> int:
-        """Return how long a pause may be: an endpoint that has paused for longer is slow, and not stalled."""
-        return max(SERVER_PAUSE_TIMEOUT_US, PAUSE_TOLERANCE_FACTOR * self._longest_pause_us)
-
     # BodySource interface: called by the client's side
 
     def eviction_rank(self) -> StreamEvictionKey | None:
