Read what lies unread before an attempt is timed out at its request's time

What callers saw: a front that was held up (SIGSTOP for 0.9 s) over a request's time answered 503 and closed the attempt, though the server's whole answer lay unread in its socket.

Cause: EndpointPool.stop judged an attempt by what had been parsed. After a hold-up the timers may run before the sockets are read.

Measured: the two tests that force the order fail without the change and pass with it.

--- a/tests/test_streaming_race_conditions.py
+++ b/tests/test_streaming_race_conditions.py
@@ -458,6 +458,25 @@
     play(begun, checked, f"clock {deadline_us}\n{passed_on}", silence, "a close\nn0 eof\n")
 
 
+# Guards against an answer that is timed out though it lies unread in its socket, as the front was held up.
+@pytest.mark.parametrize("size", ["small", "long"])
+def test_response_that_is_unread_at_its_deadline_is_read_before_it_is_judged(size: str) -> None:
+    length = {"small": 3, "long": 100_000}[size]
+    head = f"| HTTP/1.1 200 OK\n| Content-Length: {length}\n|\n"
+    body = {"small": "= abc\n", "long": "@ 0 9\n"}[size]
+    play(
+        REQUEST_AT_ENDPOINT.format("read", "got"),
+        HEALTH_CHECK.format("b"),
+        f"n0 sends, then clock {CLASS_TIMEOUT_US}\n",
+        head,
+        body,
+        "a <\n",
+        head,
+        body,
+        "counter attempts_ok 1\ncounter attempts_timeout 0\n",
+    )
+
+
 HEALTH_CHECK_OF_A = "a >\n| GET /healthz HTTP/1.1\n|\na <\n& well\n"
 
 
--- a/umberlead/net/endpoint_pool.py
+++ b/umberlead/net/endpoint_pool.py
@@ -21,6 +21,7 @@
 RESET_PROBABILITY_THRESHOLD = 0.02  # above it, requests that must not be repeated take a new connection
 RESET_EWMA_WEIGHT = 0.02  # of the latest reuse in that probability
 REUSE_DELAY_US = 5_000  # after a response; input that arrives in between is unsolicited
+READ_UNREAD_US = 2_000  # in which the event loop reads what a connection has received before a deadline
 
 
 class EndpointPool:
@@ -113,13 +114,25 @@
         """Cancel an attempt; `RequestLifecycle.attempt_ended` is called for it too.
 
         An attempt whose response has begun is not cancelled to make another one. At its deadline it goes on
-        if its response may be streamed.
+        if its response may be streamed. If this process was held up, what it has not read is read before.
         """
         conn = attempt.transport_state
-        if result is AttemptResult.CANCELLED and conn.response.started:
+        has_unread = conn.is_open() and not conn.has_no_unread_bytes()
+        if result is AttemptResult.CANCELLED and (conn.response.started or has_unread):
             self.counters.add("attempts_not_cancelled")
-        elif result is not AttemptResult.TIMEOUT or not conn.stream_past_deadline():
+        elif result is not AttemptResult.TIMEOUT:
             conn.cancel_attempt(result)
+        elif has_unread:
+            self.counters.add("attempts_unread_at_deadline")
+            self.wheel.call_after(READ_UNREAD_US, self._time_out, attempt, conn)
+        else:
+            self._time_out(attempt, conn)
+
+    @staticmethod
+    def _time_out(attempt: Attempt, conn: EndpointConnection) -> None:
+        """Time out an attempt at its deadline, unless it has ended or its response goes on."""
+        if conn.attempt is attempt and not conn.stream_past_deadline():
+            conn.cancel_attempt(AttemptResult.TIMEOUT)
 
     def cancel_if_unsent(self, attempt: Attempt) -> bool:
         """Cancel an attempt whose result is not needed; return False if it was sent already."""
