Pass on a part of a long answer within the 2 s after which it counts as lost

What callers saw: of an answer of no told length whose first lump came with its head, nothing until the next lump or the request's time; from SIGTERM on the same of every long answer. Up to the longest deadline, so over 2 s.

Cause: an answer of no told length began to pass through only at a read that came 20 ms after the first, and one was held while the process stops, without a limit. Found by going through what holds a slow answer.

Change: a part of an answer that may be long is held for 1.5 s at most. Not less, so that an answer whose server breaks early can still be tried again.

--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -84,6 +84,7 @@
     ("streamed responses: one that may be long is cut off at its deadline", POOL, "if conn.attempt is attempt and not conn.stream_past_deadline():", "if conn.attempt is attempt:"),
     ("streamed responses: one that pauses at its deadline is timed out", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and response.last_received_us + 650_000 > self.pool.clock()"),
     ("streamed responses: one that is known to be small is streamed at its deadline", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt)"),
+    ("streamed responses: a part of one is held back", NODE, "            self._limit_hold(self.attempt)\n", "            pass\n"),
     ("deadlines: an unread response is timed out", POOL, "        elif has_unread:\n            self.counters", "        elif False:\n            self.counters"),
     ("streamed responses: a read's last attempt is aborted when its endpoint pauses", LIFECYCLE, "must_not_repeat = is_last or ", "must_not_repeat = "),
     ("streamed responses: one is not passed on at its deadline while the process stops", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and not is_small_response(response.content_length) and not self.pool.buffers_responses"),
--- a/umberlead/net/endpoint_connection.py
+++ b/umberlead/net/endpoint_connection.py
@@ -28,6 +28,7 @@
 from umberlead.net.response_parser import ResponseParser
 from umberlead.net.socket_state import SocketState
 from umberlead.net.streaming import (
+    MAX_HOLD_US,
     AbortReason,
     ResponseStream,
     is_long_response,
@@ -219,6 +220,8 @@
             self._end_response()
         elif not self.response.headers_complete and self.response.header_bytes > self.pool.max_header_bytes:
             self.response_failed("head_too_large")
+        elif self.attempt is not None:
+            self._limit_hold(self.attempt)
 
     def eof_received(self) -> bool:
         """End a response that is delimited by the end of the connection."""
@@ -314,6 +317,16 @@
             return False
         return self._can_stream(attempt) and not is_small_response(response.content_length)
 
+    def _limit_hold(self, attempt: Attempt) -> None:
+        """Start the time for which a part of a response that may be long may be held back."""
+        if self.timer is None and self.response.body_bytes and self._may_stream_incomplete(attempt):
+            self.timer = self.pool.wheel.call_after(MAX_HOLD_US, self._end_hold, attempt)
+
+    def _end_hold(self, attempt: Attempt) -> None:
+        self.timer = None
+        if self.attempt is attempt and not self.attempt_cancelled and self._may_stream_incomplete(attempt):
+            self._start_stream()
+
     def _decode_response(self) -> Reply:
         return decode_response(self.response.status, self.response.headers, bytes(self.response.body))
 
--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -14,6 +14,7 @@
 UNSIZED_EVICTION_AGE_US = 10_000_000
 SIZED_EVICTION_AGE_US = 60_000_000
 STREAMING_THRESHOLD_US = 20_000  # after which an incomplete response without a length is streamed
+MAX_HOLD_US = 1_500_000  # of a part of a response that may be long; past 2 s the protocol counts it as lost
 MAX_STREAM_BYTES = 32 << 20  # the protocol's limit on a response
 
 
