Let a read of an object go on past its client's time while its servers send

What callers saw: a long read through the object API broke off at its client's time, or 0.5 s after a window began, or a client's time after a later window began, though a chunk server was sending the block in lumps.

Cause: a window's deadline (ObjectReader._window_deadline_us) timed out attempts whose answer had begun.

Change: StallWatch gives a read up if no byte of it came in the half second after its client's time. One that moves goes on, and may then pause as long as a request of its class may take by the settings. A block whose answer has begun outlasts its deadline; a server that has sent no head by then is timed out as before. What the front has not read when it was held up is read before the check.

--- a/umberlead/frontends/object_api/blocks.py
+++ b/umberlead/frontends/object_api/blocks.py
@@ -81,6 +81,7 @@
             S3Error: the block could not be read, is missing or has the wrong size.
         """
         reply = await self.read(request, operation, block_range.block, deadline_us)
+        request.last_progress_us = self.lifecycle.clock()
         if reply.status != 200 or len(reply.body) != block_range.block_bytes:
             raise S3Error("InternalError", "a block of the object is missing or cut short")
         return reply.body[block_range.begin : block_range.end]
@@ -243,4 +244,5 @@
             payload=outgoing,
             volume_front_count=settings.front_count,
             check_disconnect=request.conn.check_disconnected,
+            waits_for_response=request.response_has_begun,
         )
--- a/umberlead/frontends/object_api/reads.py
+++ b/umberlead/frontends/object_api/reads.py
@@ -12,11 +12,12 @@
 from umberlead.frontends.object_api.manifest import Manifest
 from umberlead.frontends.object_api.ranges import ByteRange, parse_ranges
 from umberlead.frontends.object_api.requests import ObjectRequest
+from umberlead.frontends.object_api.stall_watch import StallWatch
 from umberlead.net.client_connections import ClientGroup
 from umberlead.net.server_connection import ServerConnection
 from umberlead.requests.lifecycle import RequestLifecycle
 
-# The least time for a window of a response that has begun: servers may be slow without having stalled.
+# The least time of a window's attempts of a response that has begun: servers may be slow without a stall.
 MIN_WINDOW_TIMEOUT_US = 500_000
 CLIENT_READ_TIMEOUT_US = 60_000_000  # for data written to a client that it has not read
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -234,21 +235,36 @@
             response_start = conn.begin_response(response.status, response.headers, length_bytes)
             conn.transport.writelines(response_start + first_windows)
             first_windows.clear()
-            await self._send_windows(request, windows)
+            await self._send_watched(request, operation, windows)
 
-    async def _send_windows(self, request: ObjectRequest, windows: AsyncIterator[bytes]) -> None:
-        """Stream the remainder of a response that has begun."""
-        conn = request.conn
+    async def _send_watched(
+        self, request: ObjectRequest, operation: ObjectOperation, windows: AsyncIterator[bytes]
+    ) -> None:
+        """Stream the remainder of a response that has begun; abort it if it fails or stalls."""
+        loop = asyncio.get_running_loop()
+        max_pause_us = self.lifecycle.classes[operation.class_name].timeout_us
         try:
-            async for window in windows:
-                if not await self._wait_writable(conn):
-                    return
-                conn.transport.write(window)
+            async with asyncio.timeout(None) as scope:
+                with StallWatch(request, self.lifecycle, max_pause_us, lambda: scope.reschedule(loop.time())):
+                    await self._send_windows(request, windows)
         except S3Error as error:
-            self.lifecycle.counters.add("objects_reads_broken_off")
-            self.log.warning("object_response_aborted", error=error.message, request_id=request.request_id)
-            conn.transport.abort()
-            return
+            self._abort(request, error.message)
+        except TimeoutError:
+            self.lifecycle.counters.add("objects_reads_stalled")
+            self._abort(request, "its chunk servers have stalled")
+
+    def _abort(self, request: ObjectRequest, reason: str) -> None:
+        self.lifecycle.counters.add("objects_reads_broken_off")
+        self.log.warning("object_response_aborted", error=reason, request_id=request.request_id)
+        request.conn.transport.abort()
+
+    async def _send_windows(self, request: ObjectRequest, windows: AsyncIterator[bytes]) -> None:
+        conn = request.conn
+        async for window in windows:
+            if not await self._wait_writable(conn):
+                return
+            request.last_progress_us = self.lifecycle.clock()
+            conn.transport.write(window)
         conn.finish_response()
 
     async def _wait_writable(self, conn: ServerConnection) -> bool:
@@ -260,10 +276,11 @@
             timer.cancel()
 
     def _window_deadline_us(self, request: ObjectRequest) -> int:
-        """Return until when a window that is read from now on must be complete.
+        """Return until when the chunk servers must have begun to send a window that is read from now on.
 
-        Before the response begins, that is the request's deadline. After that, a response that progresses
-        goes on past the deadline, and a window begun past it has the request's time anew.
+        Before the response begins, the window must be complete by then, which is the request's deadline.
+        After that, a window begun past the deadline has the request's time anew, and blocks whose response
+        has begun are awaited until `StallWatch` ends it.
         """
         if not request.response_has_begun:
             return request.deadline_us
--- a/umberlead/frontends/object_api/requests.py
+++ b/umberlead/frontends/object_api/requests.py
@@ -31,6 +31,7 @@
         timeout_us: how long the client waits, from `HttpRequest.received_us` on.
         deadline_us: when the request has to be answered.
         response_has_begun: whether a part of the response was sent.
+        last_progress_us: when its latest block was read, or its client read what had been sent.
         open_block_requests: the chunk server requests in flight for this request.
         client_has_left: whether the client disconnected while a write was in progress.
     """
@@ -45,6 +46,7 @@
     timeout_us: int = 0
     deadline_us: int = 0
     response_has_begun: bool = False
+    last_progress_us: int = 0
     open_block_requests: set[InFlightRequest] = field(default_factory=set)
     client_has_left: bool = False
 
--- a/umberlead/net/endpoint_connection.py
+++ b/umberlead/net/endpoint_connection.py
@@ -192,7 +192,9 @@
                 self.pool.counters.add("node_answers_surplus")
             self.close()  # unsolicited input: the connection can't be reused
             return
-        if not self.response.feed(data, self.pool.clock()):
+        now_us = self.pool.clock()
+        self.attempt.response_received_us = now_us
+        if not self.response.feed(data, now_us):
             return self._response_malformed()
         if self.stream is not None and self.streaming:
             return self.stream.read_ended()  # this read started the stream
@@ -310,6 +312,16 @@
         self._start_stream()
         return True
 
+    def await_past_deadline(self) -> bool:
+        """Let the attempt outlast its deadline if its request waits for the response, and that has begun."""
+        attempt = self.attempt
+        if attempt is None or not self.written or not self.response.headers_complete:
+            return False
+        request = attempt.request
+        served = self.response.status in request.incoming.payload.served_statuses
+        attempt.outlasts_deadline = served and request.incoming.waits_for_response and not request.answered
+        return attempt.outlasts_deadline
+
     def _may_stream_incomplete(self, attempt: Attempt) -> bool:
         """Return whether a part of a response may be passed on that may be long, and is not complete."""
         response = self.response
--- a/umberlead/net/endpoint_pool.py
+++ b/umberlead/net/endpoint_pool.py
@@ -131,7 +131,7 @@
     @staticmethod
     def _time_out(attempt: Attempt, conn: EndpointConnection) -> None:
         """Time out an attempt at its deadline, unless it has ended or its response goes on."""
-        if conn.attempt is attempt and not conn.stream_past_deadline():
+        if conn.attempt is attempt and not (conn.stream_past_deadline() or conn.await_past_deadline()):
             conn.cancel_attempt(AttemptResult.TIMEOUT)
 
     def cancel_if_unsent(self, attempt: Attempt) -> bool:
--- a/umberlead/requests/lifecycle.py
+++ b/umberlead/requests/lifecycle.py
@@ -175,8 +175,12 @@
         request.client_disconnected_us = request.client_disconnected_us or self.clock()
         self.answer_counts.record_disconnected()
         self.counters.add("clients_gone")
-        if request.attempt is not None and self.transport is not None:
-            self.transport.cancel_if_unsent(request.attempt)
+        attempt = request.attempt
+        if attempt is not None and self.transport is not None:
+            if attempt.outlasts_deadline:
+                self.transport.stop(attempt, AttemptResult.TIMEOUT)
+            else:
+                self.transport.cancel_if_unsent(attempt)
         self._post(ClientDisconnected(request.id))
         self._release(request)
 
@@ -382,7 +386,11 @@
         if request.attempt is not None and self.transport:
             self.transport.stop(request.attempt, AttemptResult.TIMEOUT)
         if not request.answered:
-            self.wheel.call_after(DECISION_GRACE_US, self._answer_undecided, request)
+            self.wheel.call_after(DECISION_GRACE_US, self._answer_overdue, request)
+
+    def _answer_overdue(self, request: InFlightRequest) -> None:
+        if request.attempt is None or not request.attempt.outlasts_deadline:
+            self._answer_undecided(request)
 
     def _answer_undecided(self, request: InFlightRequest) -> None:
         """Answer a request that the scheduler has left open: each accepted request is owed one answer."""
--- a/umberlead/requests/types.py
+++ b/umberlead/requests/types.py
@@ -43,6 +43,8 @@
         call_id: the id that its client gave it; only one request at a time may have it.
         accepts_stream: whether the frontend can forward a long answer while it is being received.
         check_disconnect: checks whether its client has disconnected; the frontend handles that at once.
+        waits_for_response: whether a response that has begun is awaited past the deadline, until the frontend
+            reports that its client disconnected.
     """
 
     class_name: str
@@ -58,6 +60,7 @@
     call_id: bytes = b""
     accepts_stream: bool = False
     check_disconnect: Callable[[], bool] | None = None
+    waits_for_response: bool = False
 
     def to_event(self, request_id: str) -> Request:
         """Return the scheduler's event for this request."""
@@ -175,6 +178,8 @@
         reconnected: whether its connection broke before the request was written, and another was opened.
         misdirected: whether the endpoint rejected it for a reason that a retry there would not change.
         transport_state: the transport's state of the attempt.
+        response_received_us: when the latest bytes of its response were received; 0 before the first.
+        outlasts_deadline: whether it goes on past its deadline, as its request waits for the response.
     """
 
     request: InFlightRequest
@@ -188,6 +193,8 @@
     reconnected: bool = False
     misdirected: bool = False
     transport_state: Any = None
+    response_received_us: int = 0
+    outlasts_deadline: bool = False
 
     def to_outcome(self, result: AttemptResult, elapsed_us: int, reply: Reply) -> Outcome:
         """Return the scheduler's event for the end of this attempt."""
