--- a/tests/loaded_front.py
+++ b/tests/loaded_front.py
@@ -62,7 +62,7 @@
         block = target.partition(b"block=")[2].decode()
         call_id = headers.get(b"x-call-id", b"").decode()
         self.endpoint.runs.append((call_id, time.monotonic()))
-        script = self.endpoint.script_of(block)
+        script = self.endpoint.script_for(method, block, body)
         self.task = asyncio.get_running_loop().create_task(self._answer(script))
 
     async def _answer(self, script: Script) -> None:
@@ -84,6 +84,10 @@
         self.runs: list[tuple[str, float]] = []
         self.open_connections: set[ScriptedConnection] = set()
 
+    def script_for(self, method: bytes, block: str, body: bytes) -> Script:
+        """Return the script that answers a request."""
+        return self.script_of(block)
+
     def script_of(self, block: str) -> Script:
         return self.scripts.get(block[:2], self.answer)
 
@@ -348,10 +352,10 @@
 
 @contextlib.asynccontextmanager
 async def loaded_front(
-    folder: Path, **changes: Any
+    folder: Path, endpoint: ScriptedEndpoint | None = None, **changes: Any
 ) -> AsyncIterator[tuple[LoadedFront, ScriptedEndpoint, int]]:
     """Start an endpoint and a front; `changes` replace keys of its configuration."""
-    endpoint = ScriptedEndpoint()
+    endpoint = endpoint or ScriptedEndpoint()
     async with endpoint.listen() as endpoint_port, silent_discovery() as discovery_port:
         changes = {"discovery": f"{HOST}:{discovery_port}"} | changes
         front = LoadedFront(folder, endpoint_port, **changes)
--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -31,6 +32,7 @@
 SLOW_READ_BYTES_PER_S = 15_000
 SLOW_READ_BUFFER_BYTES = 4096
 UPLOAD_BYTES = 64_000
+LARGE_UPLOAD_BYTES = 1_900_000
 
 
 def answer_script(framing: str, size: int, first_pause: float, pause: float, pieces: int) -> Script:
@@ -226,9 +228,10 @@
 
 
 class SlowReadingServer:
-    """An endpoint that reads at `SLOW_READ_BYTES_PER_S` through a small receive buffer, and never answers."""
+    """An endpoint that reads at `bytes_per_s` through a small receive buffer, and never answers."""
 
-    def __init__(self) -> None:
+    def __init__(self, bytes_per_s: int) -> None:
+        self.bytes_per_s = bytes_per_s
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BUFFER_BYTES)
         self.socket.bind((HOST, 0))
@@ -246,33 +249,43 @@
         loop = asyncio.get_running_loop()
         with connection:
             try:
-                while await loop.sock_recv(connection, SLOW_READ_BYTES_PER_S // 20):
+                while await loop.sock_recv(connection, self.bytes_per_s // 20):
                     await asyncio.sleep(0.05)
             except OSError:
                 return
 
+    def endpoint_list(self) -> dict[str, Any]:
+        address = f"{HOST}:{self.socket.getsockname()[1]}"
+        entry = {"name": "n", "address": address, "group": 0, "status": "ready"}
+        return {"index": 1, "snapshot": True, "endpoints": [entry]}
+
 
 # Guards against a final answer that comes seconds late as its endpoint reads the request slowly.
 @pytest.mark.parametrize("class_name", [SAFE_CLASS, UNSAFE_CLASS])
-def test_upload_that_its_endpoint_reads_slowly_is_answered_in_time(tmp_path: Path, class_name: str) -> None:
+@pytest.mark.parametrize("stopping", [False, True], ids=["running", "stopping"])
+@pytest.mark.parametrize(
+    ("bytes_per_s", "size"),
+    [(SLOW_READ_BYTES_PER_S, UPLOAD_BYTES), (10_000, LARGE_UPLOAD_BYTES), (400_000, LARGE_UPLOAD_BYTES)],
+)
+def test_upload_that_its_endpoint_reads_slowly_is_answered_in_time(
+    tmp_path: Path, bytes_per_s: int, size: int, stopping: bool, class_name: str
+) -> None:
     async def test() -> None:
-        server = SlowReadingServer()
+        server = SlowReadingServer(bytes_per_s)
         reading = asyncio.get_running_loop().create_task(server.serve())
-        port = server.socket.getsockname()[1]
-        entry = {"name": "n", "address": f"{HOST}:{port}", "group": 0, "status": "ready"}
-        known = {"index": 1, "snapshot": True, "endpoints": [entry]}
-        async with loaded_front(tmp_path, known=known) as (front, _, front_port):
+        async with loaded_front(tmp_path, known=server.endpoint_list()) as (front, _, front_port):
             calls = [Call(f"u{budget}", budget, 0.0) for budget in (0.3, 0.8, 1.5, 1.9)]
             connections = [await Connection.open(front_port) for _ in calls]
-            await asyncio.gather(
-                *(
-                    connection.call(call, class_name, f"{number:016x}", bytes(UPLOAD_BYTES))
-                    for number, (call, connection) in enumerate(zip(calls, connections, strict=True))
-                )
-            )
-            counters = await front.counters()
+            uploads = [
+                asyncio.ensure_future(connection.call(call, class_name, f"{number:016x}", bytes(size)))
+                for number, (call, connection) in enumerate(zip(calls, connections, strict=True))
+            ]
+            if stopping:
+                await asyncio.sleep(0.2)
+                front.child.send_signal(signal.SIGTERM)
+            await asyncio.gather(*uploads)
             late = [call for call in calls if call.ended > call.sent + call.budget + LATE_SECONDS]
-            assert not late, (late, counters)
+            assert not late, (late, front.log.read_text()[-2000:])
         reading.cancel()
 
     run_on_uvloop(test())
