--- a/tests/planted_moments.py
+++ b/tests/planted_moments.py
@@ -9,6 +9,7 @@
 CLIENTS, SERVER = "umberlead/net/client_connections.py", "umberlead/net/server_connection.py"
 LIFECYCLE, SCHEDULER = "umberlead/requests/lifecycle.py", "umberlead/scheduling/scheduler.py"
 NODE, PARSER = "umberlead/net/endpoint_connection.py", "umberlead/net/response_parser.py"
+RESPONSES = "umberlead/net/response_handling.py"
 STREAM, POOL = "umberlead/net/streaming.py", "umberlead/net/endpoint_pool.py"
 WATCH, PROCESS = "umberlead/net/discovery.py", "umberlead/daemon/process.py"
 SHUTDOWN, SHARED_STATE = "umberlead/daemon/shutdown.py", "umberlead/daemon/shared_state_sync.py"
@@ -28,6 +29,8 @@
     "tests/test_standing.py",
     "tests/test_request_delivery.py",
     "tests/test_rate_limits.py",
+    "tests/test_object_reads.py",
+    "tests/test_exchanges.py",
 )
 planted.PLANTED = (  # type: ignore[assignment]
     ("shutdown: a partly read request is left open at the deadline", SERVER, "if partial and self.active_request is None and not self.ended:\n            self.reject(503", "if False:\n            self.reject(503"),
@@ -44,7 +47,7 @@
     ("malformed input: complete requests before it are dropped", INPUT, "self._rejection = RequestRejection(status, reason, rejected_target)", "self.ended = self.close_after_response = True"),
     ("client disconnects: not detected while reading is paused", CLIENTS, "if conn.is_reading_paused() and conn.pending_events() & DISCONNECT_POLL_EVENTS:", "if False:"),
     ("client disconnects: pipelined requests are kept", SERVER, "        self._rejection = None\n        self._pending_input.discard_all()\n", "        self._rejection = None\n"),
-    ("client disconnects: a connection attempt goes on", LIFECYCLE, "            self.transport.cancel_if_unsent(request.attempt)\n        self._post(ClientDisconnected", "            pass\n        self._post(ClientDisconnected"),
+    ("client disconnects: a connection attempt goes on", LIFECYCLE, "                self.transport.cancel_if_unsent(attempt)\n        self._post(ClientDisconnected", "                pass\n        self._post(ClientDisconnected"),
     ("client disconnects: a cancelled connection attempt counts as failed", NODE, "                reason if self.written or reason is AttemptResult.NOT_SENT else AttemptResult.CONNECT_FAILED\n", "                reason if self.written else AttemptResult.CONNECT_FAILED\n"),
     ("client disconnects: further blocks are sent", BLOCKS, "        if request.client_has_left:\n", "        if False:\n"),
     ("client disconnects: a queued block is sent", OBJECTS, "                self.lifecycle.abandon(in_flight)\n", "                pass\n"),
@@ -57,7 +60,7 @@
     ("discovery: a draining endpoint gets a request whose connection was being established", GUARD, "if not self._accepts_new_requests(attempt.endpoint):", "if False:"),
     ("watches: unread bytes of a replaced watch are not read", WATCH, "            if stream is not None:\n                stream.read_unread_bytes()\n", "            if False:\n                stream.read_unread_bytes()\n"),
     ("watches: unread bytes are not read before a watch counts as silent", WATCH, "            stream.read_unread_bytes()\n            if stream.ended or", "            if stream.ended or"),
-    ("retries: a reset with the last bytes counts as a regular end", NODE, "if self.response.framed or self._socket_state().was_reset():", "if self.response.framed:"),
+    ("retries: a reset with the last bytes counts as a regular end", RESPONSES, "if self.response.framed or self._socket_state().was_reset():", "if self.response.framed:"),
     ("pipelining: requests beyond the first steps of a read are never answered", INPUT, "            self.clients.input_turns.defer(self)\n", "            pass\n"),
     ("pipelining: a request's deadline runs from when it is parsed", "umberlead/net/request_parser.py", "request.received_us = self._received_us", "request.received_us = self._clients.clock()"),
     ("watches: an indented list is rejected", WATCHED, "        if self.brace_depth > 0:\n            return\n", ""),
@@ -81,13 +84,15 @@
     ("streamed responses: none is evicted at clients", CLIENTS, "        if not overdue:\n            return False\n", "        return False\n"),
     ("streamed responses: an aborted one looks complete to an HTTP/1.0 client", SERVER, "if not (self.chunked or self.response_length or self.transport.is_closing()):", "if False:"),
     ("retries: an interim response counts as the beginning of the answer", PARSER, "            self.started = False\n", ""),
-    ("streamed responses: one that may be long is cut off at its deadline", POOL, "if conn.attempt is attempt and not conn.stream_past_deadline():", "if conn.attempt is attempt:"),
-    ("streamed responses: one that pauses at its deadline is timed out", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and response.last_received_us + 650_000 > self.pool.clock()"),
-    ("streamed responses: one that is known to be small is streamed at its deadline", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt)"),
-    ("streamed responses: a part of one is held back", NODE, "            self._limit_hold(self.attempt)\n", "            pass\n"),
+    ("streamed responses: one that may be long is cut off at its deadline", POOL, "not (conn.stream_past_deadline() or conn.await_past_deadline())", "not conn.await_past_deadline()"),
+    ("streamed responses: one that pauses at its deadline is timed out", RESPONSES, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and response.last_received_us + 650_000 > self.pool.clock()"),
+    ("streamed responses: one that is known to be small is streamed at its deadline", RESPONSES, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt)"),
+    ("streamed responses: a part of one is held back", RESPONSES, "            self._limit_hold(self.attempt)\n", "            pass\n"),
+    ("object reads: a block that has begun is timed out at its deadline", POOL, "not (conn.stream_past_deadline() or conn.await_past_deadline())", "not conn.stream_past_deadline()"),
+    ("object reads: a stalled one is awaited", "umberlead/frontends/object_api/stall_watch.py", "        if progress_us < since_us:\n            self._on_stall()", "        if False:\n            self._on_stall()"),
     ("deadlines: an unread response is timed out", POOL, "        elif has_unread:\n            self.counters", "        elif False:\n            self.counters"),
     ("streamed responses: a read's last attempt is aborted when its endpoint pauses", LIFECYCLE, "must_not_repeat = is_last or ", "must_not_repeat = "),
-    ("streamed responses: one is not passed on at its deadline while the process stops", NODE, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and not is_small_response(response.content_length) and not self.pool.buffers_responses"),
+    ("streamed responses: one is not passed on at its deadline while the process stops", RESPONSES, "return self._can_stream(attempt) and not is_small_response(response.content_length)", "return self._can_stream(attempt) and not is_small_response(response.content_length) and not self.pool.buffers_responses"),
     ("streamed responses: one unread at shutdown looks complete to an HTTP/1.0 client", PROCESS, "        for clients in self.client_groups:\n            clients.close()\n", ""),
     ("uploads: a partly read one is evicted without a response", SERVER, "        if self._parser.partial_request is not None and not self.ended:\n            self.reject(503, \"too many connections\")\n", ""),
     ("uploads: an unread end is not read at the time limit", SERVER, "if self.has_unread_request() and not self._timeout_deferred:", "if False:"),
--- a/tests/planted_soak.py
+++ b/tests/planted_soak.py
@@ -157,7 +157,7 @@
         17,
         (
             Replacement(
-                "net/endpoint_connection.py",
+                "net/response_handling.py",
                 "return self._can_stream(attempt) and not is_small_response(response.content_length)",
                 "return False",
             ),
