Let the long answer whose server has been silent for longest give way first

Where all places have a request and a long answer is far past its time, the one with the earliest deadline gave way, also if its server was sending and another's had stalled. As no timer ends a stalled answer any longer, that order would cost sound ones. Of each kind (no told length first, as before) the one whose last byte is oldest goes; while a reader rests its server doesn't count as silent. The ages of 10 and 60 s stay.

--- a/umberlead/net/streaming.py
+++ b/umberlead/net/streaming.py
@@ -18,7 +18,7 @@
 MAX_STREAM_BYTES = 32 << 20  # the protocol's limit on a response
 
 
-StreamEvictionKey: TypeAlias = tuple[bool, int]  # whether the length is known, the deadline in microseconds
+StreamEvictionKey: TypeAlias = tuple[bool, int]  # whether the length is known, since when no byte has come
 
 
 class AbortReason(Enum):
@@ -206,7 +206,8 @@
     def eviction_rank(self) -> StreamEvictionKey | None:
         """Return the sort key for eviction, smallest first; None if it may not be evicted.
 
-        Responses without a length come first; each kind is ordered by the requests' deadlines.
+        Responses without a length come first; of each kind the one whose endpoint has been silent for the
+        longest. While the reader accepts no more, the endpoint does not count as silent.
         """
         if self.sink is None or self._owner.closed:
             return None
@@ -214,7 +215,9 @@
         sized = self._owner.response.content_length is not None
         deadline_us = self.deadline_us + (now_us - self._paused_since_us if self.paused else 0)
         age_us = SIZED_EVICTION_AGE_US if sized else UNSIZED_EVICTION_AGE_US
-        return (sized, deadline_us) if deadline_us + age_us <= now_us else None
+        if deadline_us + age_us > now_us:
+            return None
+        return (sized, now_us if self.paused else self._owner.response.last_received_us)
 
     def evict(self) -> None:
         """Abort the stream to free its connection's slot."""
