--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FULL := .run-venv
 CONFIG ?= deploy/watched.toml
 
-.PHONY: build test lint check demo run rehearse front planted-moments planted-soak bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways both-builds bench-virtual bench-news bench-leaving bench-call-ids bench-connections bench-cold-ramp soak clean
+.PHONY: build test lint check demo run rehearse front planted-moments planted-soak bench-rehearsals bench-fleet bench-versions bench-rooms bench-restarts planted-lists explore-lists bench-lists bench-watch bench-long-lists planted-routes both-ways both-builds bench-virtual bench-news bench-leaving bench-call-ids bench-connections bench-slow-answers bench-cold-ramp soak clean
 
 build:
 	cmp -s requirements.txt .venv/requirements.done || (rm -rf .venv && $(PYTHON) -m venv .venv && \
@@ -133,6 +133,10 @@
 bench-connections: $(DEV)/requirements.done
 	$(DEV)/bin/python -B -m benchmarks.connection_cost --before $(BEFORE)
 
+# What long answers in lumps, and such that stall, hold at a front of an earlier build and of this one; 2 minutes.
+bench-slow-answers: $(DEV)/requirements.done
+	$(DEV)/bin/python -B -m benchmarks.slow_answers --before $(BEFORE)
+
 # Real processes under overlapping faults, judged by invariants; half a minute a run. SOAK="--seed 3 --runs 10 --seconds 60
 # --trouble clock_step --keep FOLDER --verbose": seed, length, faults, records. SOAK="--seed 101 --runs 50 --seconds 12
 # --results FILE": a long run, which goes on where it was broken off; `python -m umberlead.testing.soak.results FILE` makes a table.
--- a/benchmarks/connection_cost.py
+++ b/benchmarks/connection_cost.py
@@ -20,6 +20,7 @@
 
 import uvloop
 
+from benchmarks.earlier_build import ROOT, earlier_build
 from tests import loaded_front
 from tests.loaded_front import (
     LONG_ANSWER_BYTES,
@@ -31,7 +32,6 @@
     request,
 )
 
-ROOT = Path(__file__).resolve().parent.parent
 ROUNDS = 3
 CLIENTS = 16
 REQUESTS_PER_CLIENT = 200
@@ -186,13 +186,9 @@
     parser.add_argument("--before", required=True)
     before = parser.parse_args().before
     rows: dict[str, dict[str, list[float]]] = defaultdict(lambda: {"before": [], "now": []})
-    with tempfile.TemporaryDirectory() as folder:
-        archive = subprocess.run(
-            ["git", "archive", before, "umberlead"], cwd=ROOT, capture_output=True, check=True
-        )
-        subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+    with earlier_build(before) as earlier_tree:
         for _ in range(ROUNDS):
-            for build, tree in (("before", Path(folder)), ("now", ROOT)):
+            for build, tree in (("before", earlier_tree), ("now", ROOT)):
                 with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
                     for name, figure in runner.run(measure(tree)).items():
                         rows[name][build].append(figure)
