--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -226,3 +226,26 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(test())
+
+
+LARGE_PARENT_BYTES = 200 << 20
+LARGE_PARENT_SCRIPT = f"""
+import os, sys
+memory = bytearray({LARGE_PARENT_BYTES})
+for position in range(0, len(memory), 4096):
+    memory[position] = 1
+child = os.fork()
+if child == 0:
+    os.execv(sys.executable, [sys.executable, "-B", "-c", sys.argv[1]])
+os.waitpid(child, 0)
+"""
+MEMORY_IN_USE_SCRIPT = (
+    "from umberlead.resource_limits import descriptors_and_memory_in_use as used; print(used().memory_bytes)"
+)
+
+
+# Guards against limits that are lower because a large process has started the front.
+def test_memory_of_the_process_that_started_the_front_does_not_count_as_in_use() -> None:
+    command = [sys.executable, "-B", "-c", LARGE_PARENT_SCRIPT, MEMORY_IN_USE_SCRIPT]
+    completed = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert int(completed.stdout) < LARGE_PARENT_BYTES
