Let `list seal` and `list format` do no harm to what a path leads to

`list format` read whatever the path led to: a sparse file of 1 TB until the process was killed, a pipe for ever.

Change: a manifest that is a list file of the set is an error with file and line, exit 1; L401 is passed over only where the list names its manifest; `format` reads a regular file of at most 64 MiB, else exit 2.

--- a/umberlead/commands/lists.py
+++ b/umberlead/commands/lists.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import sys
 import urllib.error
 import urllib.request
@@ -179,25 +180,33 @@
     if manifest is None:
         click.echo(f"{path}: the list names no manifest", err=True)
         sys.exit(PROBLEMS_STATUS)
+    manifest_path = path.parent / manifest.value
+    if os.path.relpath(manifest_path, path.parent) in {parsed.file for parsed in file_set.parsed_files}:
+        click.echo(f"{manifest.position}: {manifest.value} is a list file of the set", err=True)
+        sys.exit(PROBLEMS_STATUS)
     rows = ["format 1"]
     for parsed in sorted(file_set.parsed_files, key=lambda parsed: parsed.file):
         digest = hashlib.sha256(file_set.text_by_file[parsed.file].encode()).hexdigest()
         rows.append(f"file {parsed.file} sha256 {digest}")
-    _write_or_exit(path.parent / manifest.value, "\n".join([*rows, f"end {len(rows)}", ""]))
+    _write_or_exit(manifest_path, "\n".join([*rows, f"end {len(rows)}", ""]))
 
 
 def _exit_unless_sealable(file_set: "FileSet") -> None:
     """Print problems and exit, unless a new manifest solves all of them.
 
-    If the list names a manifest, problem L401 means that the manifest does not exist yet.
+    Problem L401 where the list names its manifest means that the manifest does not exist yet. Another file
+    that can't be read is a problem, as the manifest would not have it.
     """
-    problems = [problem for problem in file_set.problems if problem.code not in MANIFEST_CODES]
+    manifest = file_set.parsed_files[0].manifest if file_set.parsed_files else None
+    problems = [
+        problem
+        for problem in file_set.problems
+        if problem.code not in MANIFEST_CODES
+        and not (manifest is not None and problem.code == "L401" and problem.position == manifest.position)
+    ]
     problems += [problem for parsed in file_set.parsed_files for problem in parsed.problems]
-    if not problems and file_set.parsed_files:
-        return
-    names_manifest = bool(file_set.parsed_files) and file_set.parsed_files[0].manifest is not None
-    _print_problems(problem for problem in problems if problem.code != "L401" or not names_manifest)
-    if not file_set.parsed_files or any(problem.code != "L401" for problem in problems):
+    if problems or not file_set.parsed_files:
+        _print_problems(problems)
         sys.exit(PROBLEMS_STATUS)
 
 
@@ -299,10 +308,17 @@
 
 
 def _read_text_or_exit(path: Path) -> str:
+    from umberlead.common.regular_file import read_regular_file
+    from umberlead.membership.files import MAX_SET_BYTES
+
     try:
-        return path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
+        data = read_regular_file(path, MAX_SET_BYTES + 1)
+        text = data.decode().replace("\r\n", "\n").replace("\r", "\n")
+    except (OSError, ValueError) as error:
         _exit_failed(path, error)
+    if len(data) > MAX_SET_BYTES:
+        _exit_failed(path, f"the file exceeds {MAX_SET_BYTES >> 20} MiB")
+    return text
 
 
 def _write_or_exit(path: Path, text: str) -> None:
@@ -310,7 +326,7 @@
 
     try:
         write_atomically(path, text.encode())
-    except OSError as error:
+    except (OSError, ValueError) as error:
         _exit_failed(path, error)
 
 
