Make whatever stands in a list's folder a problem of the list, also at a start

Cause: `Path.glob`, `Path.resolve`, `Path.exists` and `str.encode` raise ValueError, RuntimeError, UnicodeEncodeError or an OSError outside the one `try` of the reader, for patterns, links in circles, names with NUL, too long or not in UTF-8. The exception passed through the load and ended the watch's task; a probe that held the service showed the task done with that ValueError. Excluded: a dead observer (SIGHUP reads nothing either), a load that hangs, a version held back.

Change: patterns are matched over the folder's names; each system call on an operator's path is guarded where it is made, and becomes a problem with code, file, line and key (new code L408). A regular file is opened without waiting. What is no list at all is not parsed to its end, and similar names are searched for the first 50 problems. Errors of the system that leave the files as they are (EMFILE, EIO, ESTALE ...) are tried again at each poll. Paths of the configuration that no file can have are errors of their keys.

--- a/umberlead/configuration/membership_table.py
+++ b/umberlead/configuration/membership_table.py
@@ -1,5 +1,6 @@
 """Parses the table `[membership]` of an operator's file: watched endpoint lists."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -68,10 +69,10 @@
         gate_suite_path=(folder / keys.text("gate")).absolute() if "gate" in keys.values else None,
         gate_timeout_seconds=keys.number("gate_within_s", 30, 1, 600),
     )
-    if config.gate_suite_path is not None and not config.gate_suite_path.is_file():
+    if config.gate_suite_path is not None and not os.path.isfile(config.gate_suite_path):
         raise keys.error("gate", f"no such file: {config.gate_suite_path}")
     if config.flap_reuse_threshold >= config.flap_suppress_threshold:
         raise keys.error("flap_reuse", "must be below flap_suppress")
-    if config.snapshot_path is not None and not config.snapshot_path.parent.is_dir():
+    if config.snapshot_path is not None and not os.path.isdir(config.snapshot_path.parent):
         raise keys.error("snapshot", f"no such folder: {config.snapshot_path.parent}")
     return config
--- a/umberlead/configuration/rooms_table.py
+++ b/umberlead/configuration/rooms_table.py
@@ -1,5 +1,6 @@
 """Parses the table `[rooms]` of an operator's file: zones as failure domains, and gossip between fronts."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -119,7 +120,7 @@
     keys.reject_unknown(KNOWN_PEERS_KEYS)
     seed_addresses = tuple(keys.parse_address("join", str(address)) for address in keys.items("join"))
     keys_path = (folder / keys.text("keys")).absolute()
-    if not keys_path.is_file():
+    if not os.path.isfile(keys_path):
         raise keys.error("keys", f"no such file: {keys_path}")
     max_bytes_per_second = keys.integer("bytes_a_second", 20_000, 500, 10_000_000)
     return GossipConfig(
--- a/umberlead/configuration/sources.py
+++ b/umberlead/configuration/sources.py
@@ -96,7 +96,7 @@
     try:
         # json decodes bytes as UTF-8, regardless of the locale.
         values = json.loads(Path(environment["EDGE_CONFIG"]).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError("EDGE_CONFIG", str(error)) from None
     if not isinstance(values, dict):
         raise ConfigError("EDGE_CONFIG", "must hold an object")
@@ -169,7 +169,7 @@
 
     try:
         return tomllib.loads(file.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError("UMBERLEAD_CONFIG", str(error)) from None
 
 
@@ -204,11 +204,14 @@
 
 
 def _plugin_paths(plugins: Keys, folder: Path) -> tuple[Path, ...]:
-    paths = tuple((folder / str(script)).resolve() for script in plugins.items("scripts"))
-    for index, path in enumerate(paths):
-        if not path.is_file():
+    paths = []
+    for index, script in enumerate(plugins.items("scripts")):
+        path = folder / str(script)
+        # Unlike the methods of Path, this one raises no error for a path that no file can have.
+        if not os.path.isfile(path):
             raise plugins.error(f"scripts.{index}", f"no such file: {path}")
-    return paths
+        paths.append(path.resolve())
+    return tuple(paths)
 
 
 def _log_collector(log: Keys) -> str:
--- a/umberlead/membership/checks.py
+++ b/umberlead/membership/checks.py
@@ -50,12 +50,15 @@
     "L405": "a file's digest differs from the manifest",
     "L406": "a file of the set is not in the manifest, or a file of the manifest is not in the set",
     "L407": "the files changed while they were read",
+    "L408": "a path or pattern can't be used",
 }
 # Problems that may occur because the files are still being written.
 TRANSIENT_CODES = frozenset(("L102", "L103", "L405", "L406", "L407", "L401", "L404"))
 NO_VERSION = -1
 SIMILARITY_THRESHOLD = 0.6
 MAX_SHOWN_SHARDS_COUNT = 8
+# Similar names are searched only for the first problems: the search reads all names of the list each time.
+MAX_PROBLEMS_WITH_SUGGESTION_COUNT = 50
 
 ResolvedHosts = Mapping[str, Collection[str]]
 
@@ -89,9 +92,15 @@
         """Return whether an IP address is in one of the networks."""
         permitted = self._decisions.get(address)
         if permitted is None:
-            permitted = self._decisions[address] = IPAddress(address) in self._ip_set
+            permitted = self._decisions[address] = self._is_in_networks(address)
         return permitted
 
+    def _is_in_networks(self, address: str) -> bool:
+        try:
+            return IPAddress(address) in self._ip_set
+        except (AddrFormatError, ValueError):  # The resolver may name an interface, as in fe80::1%eth0.
+            return False
+
 
 def is_ip_address(host: str) -> bool:
     """Return whether a host is written as an IP address, valid or not, and not as a name."""
@@ -292,24 +301,28 @@
                 self._problems.append(ListProblem("L101", position, f"{label} {host} is not an IP address"))
                 return None
         if self._inventory and host not in self._inventory:
-            suggestion = _nearest(host, self._inventory)
+            suggestion = self._nearest(host, self._inventory)
             message = f"{label} host {host} is not in the inventory"
             self._problems.append(ListProblem("L204", position, message, suggestion))
             return None
         addresses = self._resolved.get(host, ())
         if len(addresses) != 1:
             reason = "does not resolve" if not addresses else f"has {len(addresses)} addresses"
-            usable = [name for name, found in self._resolved.items() if len(found) == 1]
             message = f"{label} host {host} {reason}"
-            self._problems.append(ListProblem("L205", position, message, _nearest(host, usable)))
+            suggestion = self._nearest(host, self._resolvable_hosts())
+            self._problems.append(ListProblem("L205", position, message, suggestion))
             return None
         return next(iter(addresses)), port
 
+    def _resolvable_hosts(self) -> Iterable[str]:
+        return (name for name, found in self._resolved.items() if len(found) == 1)
 
-def _nearest(host: str, hosts: Collection[str]) -> str:
-    """Return the most similar of `hosts`; "" if none is similar."""
-    nearest = difflib.get_close_matches(host, hosts, 1, SIMILARITY_THRESHOLD)
-    return nearest[0] if nearest else ""
+    def _nearest(self, host: str, hosts: Iterable[str]) -> str:
+        """Return the most similar of `hosts`; "" if none is similar, or after many problems."""
+        if len(self._problems) >= MAX_PROBLEMS_WITH_SUGGESTION_COUNT:
+            return ""
+        nearest = difflib.get_close_matches(host, list(hosts), 1, SIMILARITY_THRESHOLD)
+        return nearest[0] if nearest else ""
 
 
 def manifest_problems(
--- a/umberlead/membership/grammar.py
+++ b/umberlead/membership/grammar.py
@@ -34,6 +34,8 @@
 MIN_ENDPOINT_UNITS = 0.1
 MAX_ENDPOINT_UNITS = 1e6
 SIMILARITY_THRESHOLD = 0.6
+# A line with a syntax error takes long to describe: of a file that is no list at all, the rest is not read.
+MAX_FILE_PROBLEMS_COUNT = 200
 PROBLEM_KIND = "!"
 
 GRAMMAR = r"""
@@ -314,6 +316,8 @@
             parsed = parse_line(line.rstrip("\r"))
             if parsed is not None:
                 self._add_line(number, parsed)
+            if len(self.result.problems) >= MAX_FILE_PROBLEMS_COUNT:
+                return self.result
         end_line = len(lines) + 1
         if last_line:
             message = "the last line has no newline: the file may be half written"
--- a/umberlead/membership/loading.py
+++ b/umberlead/membership/loading.py
@@ -109,7 +109,7 @@
             # Files that can't be read explain other problems, so their problems come first.
             check_result = CheckResult(None, file_set.problems + check_result.problems)
         if check_result.checked_list is None and not check_result.problems:
-            position = FilePosition(self.main_path.name)
+            position = FilePosition(files.printable_name(self.main_path.name))
             check_result = CheckResult(None, [ListProblem("L401", position, "no list file could be read")])
         return check_result
 
@@ -120,6 +120,6 @@
             if files.read_set(self.main_path).digest != digest:
                 # The gate reads the files itself; they have changed, so its result is for other content.
                 message = "the files changed while the routing tests were running"
-                return [ListProblem("L407", FilePosition(self.main_path.name), message)]
+                return [ListProblem("L407", FilePosition(files.printable_name(self.main_path.name)), message)]
             self._gate_result = _GateResult(digest, gate_problems)
         return list(self._gate_result.problems)
--- a/umberlead/membership/snapshot.py
+++ b/umberlead/membership/snapshot.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from umberlead.common.regular_file import read_regular_file
 from umberlead.membership.errors import MembershipError
 from umberlead.membership.model import CheckedList, EndpointSpec
 from umberlead.scheduling.events import EndpointStatus
@@ -19,6 +20,7 @@
 MAGIC = "umberlead-list"
 FORMAT_VERSION = 1
 MAX_HEADER_BYTES = 256
+MAX_SNAPSHOT_BYTES = 256 << 20  # larger than that of the longest list
 HEADER_WORDS_COUNT = 4
 
 
@@ -168,7 +170,7 @@
         OSError: The file can't be read.
     """
     try:
-        data = path.read_bytes()
+        data = read_regular_file(path, MAX_SNAPSHOT_BYTES)
     except FileNotFoundError:
         return None
     return decode_snapshot(data)
--- a/umberlead/membership/watching.py
+++ b/umberlead/membership/watching.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import os
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -15,6 +16,7 @@
 
 from watchdog.events import FileSystemEvent, FileSystemEventHandler
 from watchdog.observers import Observer
+from watchdog.observers.api import BaseObserver
 
 from umberlead.membership.files import FileSet, Signature, paths_signature
 
@@ -77,9 +79,9 @@
                 self._start_observer()
             if self.is_polling or self._observer is None:
                 return
-            dropped = [folder for folder in self._watches if folder not in wanted or not folder.is_dir()]
-            for folder in dropped:
-                self._remove_watch(folder)
+            for folder in list(self._watches):
+                if folder not in wanted or not os.path.isdir(folder):
+                    self._remove_watch(folder)
             for folder in wanted - self._watches.keys():
                 self._add_watch(folder)
 
@@ -87,15 +89,30 @@
         try:
             self._observer = self._new_observer()
             self._observer.start()
-        except OSError as error:  # No inotify instance or no file descriptor is left.
+        except (OSError, RuntimeError) as error:  # No inotify instance, file descriptor or thread is left.
             self._observer = None
-            self.is_polling = True
-            self._log("endpoint_list_polling_started", error=str(error))
+            self._start_polling(str(error))
+
+    def _start_polling(self, error: str) -> None:
+        self.is_polling = True
+        self._log("endpoint_list_polling_started", error=error)
+
+    def check_threads(self) -> None:
+        """Poll from now on if a thread of the observer has ended: it would report no change any more."""
+        with self._lock:
+            observer = self._observer
+            if not isinstance(observer, BaseObserver) or observer.is_alive():
+                return
+            self._observer = None
+            self._watches.clear()
+            observer.stop()
+            self._start_polling("the observer's thread has ended")
 
     def _add_watch(self, folder: Path) -> None:
         try:
             watch = self._observer.schedule(self._event_handler, str(folder), recursive=False)
-        except OSError as error:  # The folder doesn't exist, or the system's limit of watches is reached.
+        except (OSError, RuntimeError, ValueError) as error:
+            # The folder doesn't exist or can't be named, or no more watches or threads are to be had.
             if folder not in self._failed_folders:
                 self._failed_folders.add(folder)
                 self._log("endpoint_list_watch_failed", folder=str(folder), error=str(error))
@@ -128,12 +145,15 @@
         self._paths: list[Path] = []
         self._folders: list[Path] = []
         self._recently_changed = False
+        self._has_temporary_error = False
 
     def record(self, file_set: FileSet) -> None:
         """Record the signature of a set that was just read.
 
-        A file that changed a moment ago may change again without a change of its signature.
+        A file that changed a moment ago may change again without a change of its signature, and an error of
+        the system may end without one.
         """
+        self._has_temporary_error = file_set.has_temporary_error
         signature = file_set.paths_signature
         self._last_signature = signature
         self._paths = list(file_set.paths)
@@ -145,4 +165,6 @@
 
     def has_changed(self) -> bool:
         """Return whether the set needs to be read again."""
-        return self._recently_changed or paths_signature(self._paths, self._folders) != self._last_signature
+        if self._recently_changed or self._has_temporary_error:
+            return True
+        return paths_signature(self._paths, self._folders) != self._last_signature
