Supervise all work of long life: report what it raises, count it, and let it go on

Cause: nothing waits for these tasks, and asyncio reports the exception of a task only once nobody refers to it; periodic timers armed themselves at the end of a turn that may raise.

Change: common/supervision.py runs such tasks again after a pause that grows (list watch: 0.4 s at most, ended by a notification or SIGHUP), makes periodic calls whatever they raise, and logs the first trace, then a count each 10 s. A front whose watch fails for over 1 s, or whose load does not return, answers 503 on /healthz and /control/ready. The scheduler keeps the events behind one that raised, and sets its timers first. SIGHUP reads lists also with a wrong configuration. asyncio.TaskGroup cancels its other tasks when one fails, so it is not used.

Why it works: the work's end is no longer left to what its code expects.

--- a/umberlead/daemon/assembly.py
+++ b/umberlead/daemon/assembly.py
@@ -10,6 +10,7 @@
 from umberlead.common.counters import Counters
 from umberlead.common.loop_alarm import call_after_us
 from umberlead.common.sampled_log import SampledLog
+from umberlead.common.supervision import Supervisor
 from umberlead.common.timer_wheel import TimerWheel
 from umberlead.handover.shared_state import SharedState
 from umberlead.net.client_connections import ClientGroup
@@ -52,6 +53,8 @@
         memory_in_use_bytes: The memory in use before the first connection.
         trace: Logs individual decisions; None unless the log level is debug.
         event_log: Logs frequent events, of each at most a few lines per second.
+        error_log: The same for errors of the program, which may occur at each request.
+        supervisor: Runs the work that lasts as long as the process, and reports its failures.
         zones: The zone routing; None if the configuration has no zones.
         listeners: The listeners for clients, in the order of `client_groups` once all of them listen.
         client_groups: One group of client connections for each frontend.
@@ -82,6 +85,8 @@
         self.trace = self.log.debug if config.log_level == "debug" else None
         self.clock = unix_anchored_clock()
         self.event_log = SampledLog(self.log.info, self.clock)
+        self.error_log = SampledLog(self.log.error, self.clock)
+        self.supervisor = Supervisor(loop, self.clock, self.counters, self.log)
         self.wheel = TimerWheel(self.clock, partial(call_after_us, loop), config.tick_us)
         self.lifecycle = self._new_lifecycle()
         self.pool = self._new_pool()
@@ -123,7 +128,7 @@
             self.wheel,
             self.loop.call_soon,
             self.counters,
-            self.log.error,
+            self.error_log,
             hooks if hooks.plugins or self.trace else None,
         )
         lifecycle.log_lines.trace = self.trace
--- a/umberlead/daemon/frontends.py
+++ b/umberlead/daemon/frontends.py
@@ -38,6 +38,7 @@
             handler = PlatformFrontend(
                 self._components.lifecycle, config.retry_after_us, config.answer_margin_us
             )
+            handler.unready_reason = self._unready_reason
             frontends.append(Frontend(handler, self._new_client_group(), config.listen))
         if config.object_api is not None:
             frontends.append(self._new_object_api(config.object_api))
@@ -66,8 +67,14 @@
             components.config.retry_after_us,
             components.log,
         )
+        handler.unready_reason = self._unready_reason
         return Frontend(handler, clients, object_config.listen)
 
+    def _unready_reason(self) -> str:
+        """Return why a process that serves clients should not be used; "" if it should."""
+        lists = self._components.watched_lists
+        return lists.unready_reason() if lists is not None else ""
+
     def _new_client_group(self) -> ClientGroup:
         components = self._components
         clients = self._new_unlimited_group()
@@ -120,7 +127,10 @@
         address = components.config.admin_listen
         if address is None:
             return
-        admin_api = AdminApi(components.lifecycle, is_ready, set_manual_drain, knows_endpoint)
+        admin_api = AdminApi(
+            components.lifecycle, is_ready, set_manual_drain, knows_endpoint, self._unready_reason
+        )
+        admin_api.failures = components.supervisor
         admin_api.watched_lists = components.watched_lists
         admin_api.zones = components.zones
         clients = self._new_unlimited_group()
--- a/umberlead/daemon/gossip_start.py
+++ b/umberlead/daemon/gossip_start.py
@@ -19,6 +19,7 @@
     from umberlead.gossip.messages import GossipKeys
 
 BIND_RETRY_SECONDS = 0.05
+RETRY_TASK_NAME = "gossip_bind"  # under which the retries are supervised
 KEYS_KEY = "rooms.peers.keys"
 LISTEN_KEY = "rooms.peers.listen"
 
@@ -54,8 +55,7 @@
             if not self._may_succeed_later(error):
                 raise ConfigError(LISTEN_KEY, str(error)) from None
             self._record_failure(error)
-            retry = self._retry(zone_config.gossip, keys)
-            self._retry_task = components.loop.create_task(retry)
+            self._start_retrying(zone_config.gossip, keys)
 
     def _may_succeed_later(self, error: OSError) -> bool:
         """Return whether another process of this front may have the address, or the system lacks a resource.
@@ -71,6 +71,18 @@
         self._components.counters.add("gossip_binds_failed")
         self._components.log.warning("gossip_delayed", key=LISTEN_KEY, reason=str(error))
 
+    def _start_retrying(self, gossip_config: GossipConfig, keys: "GossipKeys") -> None:
+        self._retry_task = self._components.supervisor.start_task(
+            RETRY_TASK_NAME, lambda: self._retry(gossip_config, keys)
+        )
+
+    def _gossip_lost(self, gossip_config: GossipConfig, keys: "GossipKeys") -> None:
+        """Open another socket for one that was closed by an error."""
+        self._components.gossip = None
+        self._components.counters.add("gossip_sockets_lost")
+        self._components.log.error("gossip_lost", key=LISTEN_KEY)
+        self._start_retrying(gossip_config, keys)
+
     async def _retry(self, gossip_config: GossipConfig, keys: "GossipKeys") -> None:
         while self._components.gossip is None:
             await asyncio.sleep(BIND_RETRY_SECONDS)
@@ -94,10 +106,12 @@
             components.config.seed ^ os.getpid(),
             components.zones.router.zone_health,
             components.clock,
+            components.supervisor,
         )
         if self._is_closed:  # while the socket was being opened
             gossip.close()
             return
+        gossip.on_lost = lambda: self._gossip_lost(gossip_config, keys)
         components.gossip = gossip
         components.log.info("gossip_started", address=gossip.address)
 
--- a/umberlead/daemon/limits.py
+++ b/umberlead/daemon/limits.py
@@ -98,11 +98,10 @@
             len(components.lifecycle.open_requests),
         )
 
-    def update_quota_periodically(self) -> None:
+    def update_quota_if_shared(self) -> None:
         """Update the quota while another process runs, and when one has started or ended."""
         if self.descriptor_quota.has_siblings or self._components.shared_state.has_changed():
             self.update_quota()
-        self._components.wheel.call_after(QUOTA_UPDATE_INTERVAL_US, self.update_quota_periodically)
 
     async def wait_for_quota(self) -> None:
         """Wait until the other process of this front has released this process's part of the descriptors.
--- a/umberlead/daemon/process.py
+++ b/umberlead/daemon/process.py
@@ -34,6 +34,10 @@
 MAX_COLLECTION_THRESHOLD = 10_000
 
 
+class ListenError(OSError):
+    """A listener can't be opened."""
+
+
 class FrontProcess(ProcessComponents):
     """The components of one process and the tasks that run them.
 
@@ -73,6 +77,7 @@
         self.gossip_start = GossipStart(self)
         self.shutdown = GracefulShutdown(self, self.state_sync, self.gossip_start)
         self.reporting = Reporting(self)
+        self._sweep_parts: dict[str, Callable[[], None]] = {}
         self._stages = stages or StartStages(monotonic_us())
         self._early_reload_signals = early_reload_signals
 
@@ -83,7 +88,7 @@
 
         Raises:
             ConfigError: A file named in the configuration cannot be used.
-            OSError: A listener cannot be opened.
+            ListenError: A listener cannot be opened.
         """
         self._handle_signals()
         self._start_endpoint_lists()
@@ -99,7 +104,9 @@
         await self.gossip_start.start()
         self.state_sync.sync()
         self.limits.apply()
-        self.wheel.call_after(QUOTA_UPDATE_INTERVAL_US, self.limits.update_quota_periodically)
+        self.supervisor.call_periodically(
+            self.wheel, QUOTA_UPDATE_INTERVAL_US, "quota_update", self.limits.update_quota_if_shared
+        )
         self._stages.record("parts")
         await self._wait_for_first_list()
         self._stages.record("list")
@@ -111,8 +118,12 @@
         if not self.listeners:  # SIGTERM was received while the listeners were opened
             return
         self.reporting.log_limits()
+        self._sweep_parts = self._new_sweep_parts()
         self.sweep()
-        self.wheel.call_after(REPORT_INTERVAL_US, self.reporting.log_counters_periodically)
+        self.supervisor.call_periodically(self.wheel, SWEEP_INTERVAL_US, "sweep", self.sweep)
+        self.supervisor.call_periodically(
+            self.wheel, REPORT_INTERVAL_US, "counters_report", self.reporting.log_counters
+        )
         self._set_up_garbage_collection()
         self._stages.record("listeners")
         self.reporting.log_start(self._stages)
@@ -122,20 +133,19 @@
         """Open a listener, and retry while the system lacks a resource for it and no shutdown has begun.
 
         Raises:
-            OSError: The listener cannot be opened, or the resource is still missing at the last retry.
+            ListenError: The listener cannot be opened, or the resource is still missing at the last retry.
         """
-        for _ in range(LISTEN_RETRIES_COUNT):
+        for retries_left in reversed(range(LISTEN_RETRIES_COUNT + 1)):
             if self.shutdown.stop_requested:
                 return
             try:
                 listen()
                 return
             except OSError as error:
-                if error.errno not in LOCAL_RESOURCE_ERRNOS:
-                    raise
+                if error.errno not in LOCAL_RESOURCE_ERRNOS or not retries_left:
+                    raise ListenError(*error.args) from error
                 self.counters.add("listens_failed")
             await asyncio.sleep(LISTEN_RETRY_SECONDS)
-        listen()
 
     def _handle_signals(self) -> None:
         self.loop.add_signal_handler(signal.SIGTERM, self.shutdown.start)
@@ -190,19 +200,33 @@
     # Run
 
     def sweep(self) -> None:
-        """Do the periodic work, and schedule the next round after `SWEEP_INTERVAL_US`."""
+        """Do one round of the periodic work; each part is done even if another one fails."""
         self.reporting.sweep_lateness.record_call(self.clock())
-        self.endpoint_list_sync.observe_wall_clock()
-        self.state_sync.sync()
+        for name, part in self._sweep_parts.items():
+            self.supervisor.call(name, part)
+
+    def _new_sweep_parts(self) -> dict[str, Callable[[], None]]:
+        """Return the parts of the periodic work by the names under which their failures are counted."""
+        parts = {"wall_clock": self.endpoint_list_sync.observe_wall_clock, "state_sync": self.state_sync.sync}
+        if self.watched_lists is not None:
+            parts["list_progress"] = self.watched_lists.check_progress
+        if self.discovery_watch is not None:
+            parts["discovery_watch"] = self.discovery_watch.restore_timers
         if self.zones is not None:
-            self.zones.tick()
-        self.pool.close_expired()
+            parts["zone_health"] = self.zones.tick
+        parts["endpoint_connections"] = self.pool.close_expired
+        parts["client_connections"] = self._close_expired_clients
+        parts["listeners"] = self._resume_listeners
+        parts["shutdown"] = self.shutdown.end_if_idle
+        return parts
+
+    def _close_expired_clients(self) -> None:
         for clients in [*self.client_groups, *(admin_clients for _, admin_clients in self.admin_listeners)]:
             clients.close_expired()
+
+    def _resume_listeners(self) -> None:
         for listener in [*self.listeners, *(admin_listener for admin_listener, _ in self.admin_listeners)]:
             listener.resume()
-        self.shutdown.end_if_idle()
-        self.wheel.call_after(SWEEP_INTERVAL_US, self.sweep)
 
     def reload(self) -> None:
         """Reload the configuration (SIGHUP); a configuration with an error changes nothing.
@@ -211,6 +235,8 @@
         drains.
         """
         self.counters.add("reloads")
+        if self.watched_lists is not None:
+            self.watched_lists.request_load()  # also if the configuration can't be used
         try:
             with self.reserved_descriptor.lent():  # a reload must not fail because no descriptor is free
                 new_config = configuration.load()
@@ -221,8 +247,6 @@
         applied, at_next_start = configuration.changed_fields(self.config, new_config)
         self.config = replace(self.config, **{name: getattr(new_config, name) for name in applied})
         self.limits.apply()
-        if self.watched_lists is not None:
-            self.watched_lists.request_load()
         if self.discovery_watch is not None and new_config.discovery is not None:
             self.discovery_watch.change_address(new_config.discovery)
         elif "discovery" in applied:
@@ -232,20 +256,21 @@
     # End
 
     def release_resources(self) -> None:
-        """Close all connections, listeners and files, and log the counters a last time."""
+        """Close all connections, listeners and files, and log the counters a last time.
+
+        No step depends on the success of another.
+        """
+        steps: list[Callable[[], None]] = []
         if self.discovery_watch is not None:
-            self.discovery_watch.close()
+            steps.append(self.discovery_watch.close)
         if self.watched_lists is not None:
-            self.watched_lists.close()
-        self.gossip_start.close()
-        self.pool.close()
-        for clients in self.client_groups:
-            clients.close()
-        for listener, _ in self.admin_listeners:
-            listener.close()
-        self.shared_state.deregister()
-        self.reserved_descriptor.close()
-        self.reporting.log_counters()
+            steps.append(self.watched_lists.close)
+        steps += [self.gossip_start.close, self.pool.close]
+        steps += [clients.close for clients in self.client_groups]
+        steps += [listener.close for listener, _ in self.admin_listeners]
+        steps += [self.shared_state.deregister, self.reserved_descriptor.close, self.reporting.log_counters]
+        for step in steps:
+            self.supervisor.call("release_resources", step)
         self.syslog.close()
 
 
@@ -254,11 +279,12 @@
 
     Raises:
         ConfigError: A file named in the configuration cannot be used.
-        OSError: A listener cannot be opened.
+        ListenError: A listener cannot be opened.
     """
 
     async def run() -> None:
         front = FrontProcess(config, asyncio.get_running_loop(), stages, early_reload_signals)
+        front.supervisor.report_failed_threads()
         front.loop.set_exception_handler(lambda _, context: front.reporting.log_unexpected_error(context))
         try:
             await front.run()
--- a/umberlead/daemon/reporting.py
+++ b/umberlead/daemon/reporting.py
@@ -2,8 +2,10 @@
 
 import os
 import time
+import traceback
 from typing import Any
 
+from umberlead.common.supervision import describe_error
 from umberlead.daemon.assembly import ProcessComponents
 from umberlead.daemon.resource_gauges import LoopLateness, read_gauges
 from umberlead.daemon.start_stages import StartStages
@@ -36,11 +38,6 @@
             **components.counters.report(),
         )
 
-    def log_counters_periodically(self) -> None:
-        """Log all counters now and every `REPORT_INTERVAL_US`."""
-        self.log_counters()
-        self._components.wheel.call_after(REPORT_INTERVAL_US, self.log_counters_periodically)
-
     def log_limits(self) -> None:
         """Log the resources that the process may use and the connection limits derived from them."""
         components = self._components
@@ -60,9 +57,11 @@
     def log_unexpected_error(self, context: dict[str, Any]) -> None:
         """Log an unhandled exception; this is the exception handler of the event loop."""
         self._components.counters.add("unexpected_errors")
-        self._components.log.error(
+        error = context.get("exception")
+        self._components.error_log(
             "unexpected_error",
             what=str(context.get("message")),
-            why=repr(context.get("exception")),
+            why=describe_error(error) if error is not None else "",
             pid=os.getpid(),
+            trace="".join(traceback.format_exception(error)) if error is not None else "",
         )
--- a/umberlead/daemon/shutdown.py
+++ b/umberlead/daemon/shutdown.py
@@ -1,5 +1,7 @@
 """The graceful shutdown of a process: it answers all accepted requests before SIGKILL."""
 
+from collections.abc import Callable
+
 from umberlead.daemon.assembly import ProcessComponents
 from umberlead.daemon.gossip_start import GossipStart
 from umberlead.daemon.shared_state_sync import SharedStateSync
@@ -43,18 +45,23 @@
             return
         components = self._components
         self.stop_requested = True
+        self._schedule_steps()
         components.pool.buffers_responses = True
         components.log.info("stopping", open=len(components.lifecycle.open_requests))
-        components.shared_state.announce_leaving()
-        self._gossip_start.close()
+        steps: list[Callable[[], None]] = [components.shared_state.announce_leaving, self._gossip_start.close]
         if components.listeners:  # from now on its share of the volumes' limits is smaller
-            self._state_sync.sync()
-        for listener in components.listeners:
-            listener.disable_deferred_accept()
+            steps.append(self._state_sync.sync)
+        steps += [listener.disable_deferred_accept for listener in components.listeners]
+        for step in steps:
+            components.supervisor.call("shutdown_start", step)
         for clients in components.client_groups:
             # A client whose connection is closed here reconnects to the other process.
             clients.close_after_response = components.process_count > 1
             clients.stopping = True
+
+    def _schedule_steps(self) -> None:
+        """Schedule the later steps, whose times count from SIGTERM."""
+        components = self._components
         max_timeout_us = max(request_class.timeout_us for request_class in components.config.settings.classes)
         kill_delay_us = min(max_timeout_us, MAX_KILL_DELAY_US) + KILL_DELAY_MARGIN_US
         drain_delay_us = max(kill_delay_us - DRAIN_BEFORE_KILL_US, ACCEPT_AFTER_SIGTERM_US)
@@ -78,10 +85,12 @@
 
     def answer_open_requests(self) -> None:
         """Answer all requests that are still open, because their clients would otherwise get no answer."""
-        for clients in self._components.client_groups:
-            clients.reject_new_requests()
-        self._components.lifecycle.shut_down()
-        self._components.wheel.call_after(LAST_WRITES_US, self._components.done.set)
+        try:
+            for clients in self._components.client_groups:
+                clients.reject_new_requests()
+            self._components.lifecycle.shut_down()
+        finally:  # the process has to end before SIGKILL
+            self._components.wheel.call_after(LAST_WRITES_US, self._components.done.set)
 
     def end_if_idle(self) -> None:
         """End the process if it no longer accepts clients and has no clients and no open requests."""
--- a/umberlead/frontends/admin_api.py
+++ b/umberlead/frontends/admin_api.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import quote, unquote
 
+from umberlead.frontends.health_check import always_ready
 from umberlead.net.http_message import HttpRequest
 from umberlead.net.server_connection import ServerConnection
 from umberlead.requests.lifecycle import RequestLifecycle
@@ -70,6 +71,16 @@
         """
 
 
+class TaskFailures(Protocol):
+    """The methods of the supervisor that the admin API calls."""
+
+    def failure_counts(self) -> dict[str, int]:
+        """Return the number of failures of each task that has failed since the process's start."""
+
+    def failing_names(self) -> list[str]:
+        """Return the names of the tasks that are failing at present."""
+
+
 def format_counters(lifecycle: RequestLifecycle) -> bytes:
     """Return the counters since the process's start and the current gauges, as lines in statsd's format."""
     lines = [
@@ -87,6 +98,15 @@
     return "\n".join([*lines, ""]).encode()
 
 
+def format_task_failures(failures: TaskFailures) -> bytes:
+    """Return a line for each task that has failed since the process's start, and how many are failing now."""
+    counts = failures.failure_counts()
+    if not counts:
+        return b""
+    lines = [f"svc.task_failures.{name}:{count}|c" for name, count in counts.items()]
+    return "\n".join([*lines, f"svc.tasks_failing:{len(failures.failing_names())}|g", ""]).encode()
+
+
 def _json_response(value: Any) -> AdminResponse:
     return AdminResponse(200, json.dumps(value, indent=1).encode() + b"\n")
 
@@ -104,6 +124,7 @@
     Attributes:
         watched_lists: the watched endpoint lists; None if the configuration has none.
         zones: the zone routing; None if the configuration has none.
+        failures: the failures of the process's tasks; None if they are not supervised.
     """
 
     max_body_bytes = 1024
@@ -120,6 +141,7 @@
         is_ready: Callable[[], bool],
         set_manual_drain: Callable[[str, bool], None],
         knows_endpoint: Callable[[str], bool] | None = None,
+        unready_reason: Callable[[], str] = always_ready,
     ) -> None:
         """Create the handler.
 
@@ -128,10 +150,13 @@
             is_ready: returns whether this process serves clients.
             set_manual_drain: starts or ends the manual drain of an endpoint; may raise OSError.
             knows_endpoint: returns whether an endpoint has this name; by default the lifecycle's method.
+            unready_reason: returns why a process that serves clients is not ready; "" if it is.
         """
         self.lifecycle = lifecycle
         self.is_ready = is_ready
         self.set_manual_drain = set_manual_drain
+        self.unready_reason = unready_reason
+        self.failures: TaskFailures | None = None
         self.knows_endpoint = knows_endpoint or lifecycle.knows_endpoint
         self.watched_lists: ListControl | None = None
         self.zones: ZoneControl | None = None
@@ -165,8 +190,16 @@
         if is_drain_call:
             return self._set_drained(unquote(endpoint), DRAINED_BY_ACTION[action])
         if path == COUNTERS_PATH:
-            return AdminResponse(200, format_counters(self.lifecycle))
-        return AdminResponse(200, b"ready\n") if self.is_ready() else AdminResponse(503, b"not ready\n")
+            failure_lines = format_task_failures(self.failures) if self.failures is not None else b""
+            return AdminResponse(200, format_counters(self.lifecycle) + failure_lines)
+        return self._readiness()
+
+    def _readiness(self) -> AdminResponse:
+        if not self.is_ready():
+            return AdminResponse(503, b"not ready\n")
+        if reason := self.unready_reason():
+            return AdminResponse(503, f"not ready: {reason}\n".encode())
+        return AdminResponse(200, b"ready\n")
 
     def _zones_call(self, zones: ZoneControl, method: bytes, path: str) -> AdminResponse:
         if path == ZONES_PATH and method == b"GET":
--- a/umberlead/frontends/object_api/handler.py
+++ b/umberlead/frontends/object_api/handler.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from umberlead.configuration import ObjectApiConfig, ObjectOperation
+from umberlead.frontends.health_check import always_ready, answer_health_check
 from umberlead.frontends.object_api.blocks import BlockStore
 from umberlead.frontends.object_api.errors import S3Error
 from umberlead.frontends.object_api.multipart import MultipartWriter
@@ -55,7 +56,11 @@
 
 
 class ObjectApi:
-    """Serves the object API's listener; see `umberlead.net.server_connection.RequestHandler`."""
+    """Serves the object API's listener; see `umberlead.net.server_connection.RequestHandler`.
+
+    Attributes:
+        unready_reason: returns why this process is not ready, for health checks; "" if it is.
+    """
 
     sends_date = True
     singleton_headers = frozenset((b"range", b"content-md5", b"x-budget", b"if-range", b"x-amz-copy-source"))
@@ -86,6 +91,7 @@
         self.lifecycle = lifecycle
         self.retry_after_us = retry_after_us
         self.log = log
+        self.unready_reason: Callable[[], str] = always_ready
         self.max_body_bytes = config.max_part_bytes
         self.tasks: set[asyncio.Task[None]] = set()
         self.writes_by_task: dict[Any, ObjectRequest] = {}  # their tasks must not be cancelled
@@ -107,7 +113,7 @@
     def handle_request(self, conn: ServerConnection, request: HttpRequest) -> None:
         """Serve a request in a new task."""
         if request.target == b"/healthz":
-            conn.send_response(200, (), b"ok\n")
+            answer_health_check(conn, self.unready_reason())
             return
         self.lifecycle.counters.add("objects_requests")
         request_id = f"{self._blocks.next_number():016x}"
--- a/umberlead/frontends/platform.py
+++ b/umberlead/frontends/platform.py
@@ -7,12 +7,13 @@
 
 import math
 import re
-from collections.abc import Container
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from typing import NamedTuple
 from urllib.parse import unquote_to_bytes
 
 from umberlead.common.errors import UmberleadError
+from umberlead.frontends.health_check import always_ready, answer_health_check
 from umberlead.net.endpoint_protocol import OutgoingRequest
 from umberlead.net.http_message import HttpRequest
 from umberlead.net.server_connection import ServerConnection
@@ -196,6 +197,9 @@
     """Serves the platform's listener; see `umberlead.net.server_connection.RequestHandler`.
 
     It only translates between HTTP and the request lifecycle, which makes all decisions.
+
+    Attributes:
+        unready_reason: returns why this process is not ready, for health checks; "" if it is.
     """
 
     max_body_bytes = MAX_STREAM_BYTES
@@ -217,12 +221,12 @@
         self.lifecycle = lifecycle
         self.answer_margin_us = answer_margin_us
         self.retry_after_us = retry_after_us
-        self.ready = True
+        self.unready_reason: Callable[[], str] = always_ready
 
     def handle_request(self, conn: ServerConnection, request: HttpRequest) -> None:
         """Pass a request to the lifecycle; answer health checks and invalid requests directly."""
         if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
-            conn.send_response(200 if self.ready else 503, (), b"ok\n" if self.ready else b"not ready\n")
+            answer_health_check(conn, self.unready_reason())
             return
         try:
             incoming = parse_request(request, self.lifecycle, self.answer_margin_us)
--- a/umberlead/membership/integration.py
+++ b/umberlead/membership/integration.py
@@ -1,14 +1,16 @@
 """Connects the list in force to a front process: applies its changes to the lifecycle and the pool."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any, Protocol
 
 from umberlead import configuration
 from umberlead.common.counters import Counters
+from umberlead.common.supervision import Supervisor
 from umberlead.membership.change_gate import ChangeGate
 from umberlead.membership.flap_damping import RETURN_PENALTY_UNITS, FlapDampingSettings
-from umberlead.membership.list_merge import MembershipSettings
+from umberlead.membership.list_merge import Membership, MembershipSettings
 from umberlead.membership.model import ActiveEndpoint, Address, EndpointSpec, MembershipChange
 from umberlead.membership.service import NoUsableListError, WatchedListService, WatchedListSettings
 from umberlead.scheduling.events import Endpoint, EndpointList, EndpointStatus
@@ -33,6 +35,7 @@
     log: Any
     lifecycle: "RequestLifecycle"
     pool: "EndpointPool"
+    supervisor: Supervisor
 
 
 def endpoint_from_discovery(listed: configuration.ListedEndpoint) -> EndpointSpec:
@@ -115,6 +118,26 @@
     pool.close_unlisted(unlisted)
 
 
+def apply_all(membership: Membership, lifecycle: "RequestLifecycle", pool: "EndpointPool") -> None:
+    """Apply the whole list in one event-loop callback, whatever part of an earlier change was applied."""
+    active_endpoints = membership.active_endpoints
+    for name, drained_us in membership.manual_drains.items():
+        if name in active_endpoints:
+            lifecycle.set_manual_drain(active_endpoints[name].id, True, drained_us)
+    addresses: dict[str, Address] = {}
+    for active in active_endpoints.values():
+        address = active.endpoint.address or pool.addresses.get(active.id)
+        if address is not None:
+            addresses[active.id] = address
+    unlisted = set(pool.addresses.values()) - set(addresses.values())
+    pool.addresses.clear()
+    pool.addresses.update(addresses)
+    pool.endpoint_counts = dict(Counter(addresses.values()))
+    pool.close_unlisted(unlisted)
+    endpoints = tuple(scheduler_endpoint(active) for active in active_endpoints.values())
+    lifecycle.apply_endpoint_list(EndpointList(True, endpoints))
+
+
 def start_watched_lists(
     list_config: configuration.WatchedListConfig, host: MembershipHost
 ) -> WatchedListService:
@@ -132,6 +155,8 @@
         counters=host.counters,
         log=host.log,
         apply_to_front=lambda change: apply_change(change, host.lifecycle, host.pool),
+        supervisor=host.supervisor,
+        resynchronize_front=lambda membership: apply_all(membership, host.lifecycle, host.pool),
     )
     try:
         service.load_first_list()
--- a/umberlead/membership/service.py
+++ b/umberlead/membership/service.py
@@ -5,16 +5,19 @@
 """
 
 import asyncio
+import contextlib
 import gc
 import sys
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from umberlead.common.counters import Counters
+from umberlead.common.supervision import Supervisor, describe_error
 from umberlead.membership.change_gate import ChangeGate
 from umberlead.membership.checks import NO_VERSION
 from umberlead.membership.errors import MembershipError
@@ -34,6 +37,16 @@
 INCOMPLETE_FILES_GRACE_SECONDS = 0.25
 INCOMPLETE_FILES_CHECK_SECONDS = INCOMPLETE_FILES_GRACE_SECONDS / 4
 MAX_LOGGED_NAMES_COUNT = 8
+# The names under which the work of the watch is supervised.
+WATCH_TASK_NAME = "list_watch"
+OBSERVER_NAME = "list_observer"
+CLOSE_NAME = "list_close"
+# A watch that fails is run again so soon that a removal is in force within 1 s of the change of its file.
+MAX_WATCH_RESTART_DELAY_SECONDS = 0.4
+# How long the watch may fail, or a load may last beyond the gate's limit, before the front is not ready.
+MAX_WATCH_FAILING_US = 1_000_000
+MAX_LOAD_US = 5_000_000
+MICROSECONDS_PER_SECOND = 1_000_000
 # With at least this many endpoints, a load runs with the cyclic garbage collector disabled.
 LARGE_LIST_ENDPOINTS_COUNT = 2000
 
@@ -99,6 +112,7 @@
         log: The process's log.
         membership: The list in force.
         load_count: The number of loads so far.
+        supervisor: Runs the tasks, and reports their failures.
     """
 
     def __init__(
@@ -112,6 +126,8 @@
         apply_to_front: Callable[[MembershipChange], None],
         lookup: Lookup = system_lookup,
         new_observer: Callable[[], Any] | None = None,
+        supervisor: Supervisor | None = None,
+        resynchronize_front: Callable[[Membership], None] | None = None,
     ) -> None:
         """Create the service; nothing is loaded or watched yet.
 
@@ -125,6 +141,9 @@
             apply_to_front: Called with each change of the list in force.
             lookup: Resolves a host name.
             new_observer: Creates a watchdog observer; the class `Observer` by default.
+            supervisor: Runs the tasks, and reports their failures; by default one of the service's own.
+            resynchronize_front: Called with the list in force after `apply_to_front` has raised, which
+                may have applied a part of its change.
         """
         self.settings = settings
         self.loop = loop
@@ -133,12 +152,17 @@
         self.log = log
         self.membership = Membership(settings.membership)
         self.load_count = 0
+        self.supervisor = supervisor or Supervisor(loop, clock, counters, log)
         self._apply_to_front = apply_to_front
+        self._resynchronize_front = resynchronize_front
+        self._front_is_behind = False
         self._loader = _new_loader(settings, shard_count, lookup)
         self._watcher = FolderWatcher(self._on_files_changed, log.warning, new_observer)
         self._snapshot_store = self._new_snapshot_store()
         self._load_executor = ThreadPoolExecutor(1, "list")
         self._wake = asyncio.Event()
+        self._turn_ended_us = clock()
+        self._stall_is_logged = False
         self._watch_task: asyncio.Task[None] | None = None
         self._reported_problems: tuple[ListProblem, ...] = ()
         self._incomplete_since_seconds: float | None = None
@@ -148,7 +172,7 @@
         path = self.settings.snapshot_path
         if path is None:
             return None
-        return SnapshotStore(path, self.clock, self.counters, self.log, self._latest_list)
+        return SnapshotStore(path, self.clock, self.counters, self.log, self._latest_list, self.supervisor)
 
     def load_first_list(self) -> None:
         """Load the first list before the front listens; blocks.
@@ -161,65 +185,133 @@
         saved = store.restore() if store is not None else None
         if saved is not None:
             self._apply_change(self.membership.restore(self.clock(), saved), "snapshot")
-        result = self._loader.load(saved)
-        self._watcher.watch_folders(result.watched_folders)
-        self._apply_load_result(result, is_first=True)
+        problems, reason = self._load_first_files(saved)
         if self.membership.file_list is None:
             self.close()
-            reason = store.restore_error if store is not None else ""
-            raise NoUsableListError(result.check_result.problems, reason)
+            reason = reason or (store.restore_error if store is not None else "")
+            raise NoUsableListError(problems, reason)
         if self.membership.file_list_origin == "snapshot":
             self.counters.add("list_from_snapshot")
             generation = self.membership.generation
             self.log.error("endpoint_list_restored", generation=generation, **self._problem_fields())
 
+    def _load_first_files(self, saved: CheckedList | None) -> tuple[list[ListProblem], str]:
+        """Load the files and apply the result; return their problems, or why they could not be loaded.
+
+        A front that has a snapshot starts from it whatever a load raises; the watch then loads the files.
+        """
+        try:
+            result = self._loader.load(saved)
+        except Exception as error:
+            self.supervisor.record_failure(WATCH_TASK_NAME, error)
+            return [], f"{self.settings.main_path}: {describe_error(error)}"
+        self._watch_folders(result.watched_folders)
+        self._apply_load_result(result, is_first=True)
+        return result.check_result.problems, ""
+
     def start_watching(self) -> None:
         """Start the task that watches the files."""
-        self._watch_task = self.loop.create_task(self._watch_files())
-        store = self._snapshot_store
-        if store is not None and store.unsaved_list() and self.membership.file_list_origin == "files":
-            store.save_in_background(self.loop)  # Retries a first save that failed, as on a full disk.
+        self._watch_task = self.supervisor.start_task(
+            WATCH_TASK_NAME, self._watch_files, self._wake, MAX_WATCH_RESTART_DELAY_SECONDS
+        )
+        if self._snapshot_store is not None and self._snapshot_store.unsaved_list():
+            self._save_list()  # Retries a first save that failed, as on a full disk.
 
     def close(self) -> None:
-        """Stop watching, and save the list in force."""
+        """Stop watching, and save the list in force; no step depends on the success of another."""
         self._closed = True
-        self._watcher.close()
+        steps: list[Callable[[], object]] = [self._watcher.close]
         if self.settings.gate is not None:
-            self.settings.gate.close()
+            steps.append(self.settings.gate.close)
         if self._watch_task is not None:
-            self._watch_task.cancel()
+            steps.append(self._watch_task.cancel)
         if self._snapshot_store is not None:
-            self._snapshot_store.close()
-        self._load_executor.shutdown(wait=False, cancel_futures=True)
-        self._loader.resolver.close()
+            steps.append(self._snapshot_store.close)
+        steps.append(partial(self._load_executor.shutdown, wait=False, cancel_futures=True))
+        steps.append(self._loader.resolver.close)
+        for step in steps:
+            self.supervisor.call(CLOSE_NAME, step)
 
     def _latest_list(self) -> CheckedList | None:
         return self.membership.file_list
 
     def _on_files_changed(self) -> None:
         """Wake the watch task; called from the watcher's thread."""
-        if not self._closed:
-            self.loop.call_soon_threadsafe(self._wake.set)
+        with contextlib.suppress(RuntimeError):  # The event loop was closed: the process ends.
+            if not self._closed:
+                self.loop.call_soon_threadsafe(self._wake.set)
 
     def request_load(self) -> None:
         """Load the files now, even if they have not changed."""
         self._wake.set()
 
     async def _watch_files(self) -> None:
+        """Load the files at each change, until the service is closed.
+
+        Any exception ends this task, and the supervisor runs it again. The files are then loaded in any case,
+        as the change that was being handled is not noticed a second time.
+        """
         while not self._closed:
-            try:
-                await asyncio.wait_for(self._wake.wait(), self.settings.poll_interval_seconds)
-                await asyncio.sleep(self.settings.settle_seconds)  # Lets a burst of changes end.
-                is_due = True
-            except TimeoutError:
-                detector = self._loader.change_detector
-                is_due = await self.loop.run_in_executor(self._load_executor, detector.has_changed)
+            is_repeated = self.supervisor.failing_us(WATCH_TASK_NAME) > 0
+            is_due = is_repeated or await self._wait_for_change()
             self._wake.clear()
             if is_due:
                 result = await self.loop.run_in_executor(self._load_executor, self._load_in_thread)
                 if not self._closed:
                     self._apply_load_result(result)
+            self._bring_front_up_to_date()
             self._apply_change(self.membership.advance_time(self.clock()), "time")
+            self._turn_ended_us = self.clock()
+            self.supervisor.record_success(WATCH_TASK_NAME)
+
+    async def _wait_for_change(self) -> bool:
+        """Wait for a notification, or for the next poll; return whether the files have to be loaded."""
+        try:
+            await asyncio.wait_for(self._wake.wait(), self.settings.poll_interval_seconds)
+        except TimeoutError:
+            self._watcher.check_threads()
+            detector = self._loader.change_detector
+            return await self.loop.run_in_executor(self._load_executor, detector.has_changed)
+        await asyncio.sleep(self.settings.settle_seconds)  # Lets a burst of changes end.
+        return True
+
+    def _bring_front_up_to_date(self) -> None:
+        """Apply the whole list in force if the front may have applied only a part of a change."""
+        if self._front_is_behind and self._resynchronize_front is not None:
+            self._resynchronize_front(self.membership)
+            self._front_is_behind = False
+            self._save_list()
+
+    def unready_reason(self) -> str:
+        """Return why this front does not follow its list at present; "" if it does.
+
+        Files with problems are no such reason: the last good list is in force, as it should be.
+        """
+        failing_us = self.supervisor.failing_us(WATCH_TASK_NAME)
+        if failing_us > MAX_WATCH_FAILING_US:
+            seconds = failing_us / MICROSECONDS_PER_SECOND
+            return f"{WATCH_TASK_NAME} has been failing for {seconds:.0f} s"
+        gate_seconds = self.settings.gate.timeout_seconds if self.settings.gate is not None else 0.0
+        max_turn_us = MAX_LOAD_US + int(gate_seconds * MICROSECONDS_PER_SECOND)
+        turn_us = self.clock() - self._turn_ended_us
+        if self._watch_task is None or turn_us <= max_turn_us:
+            return ""
+        return f"{WATCH_TASK_NAME} has been loading the list for {turn_us / MICROSECONDS_PER_SECOND:.0f} s"
+
+    def check_progress(self) -> None:
+        """Log once that the watch does not follow the list, while its task is neither failing nor done."""
+        reason = self.unready_reason()
+        if reason and not self._stall_is_logged and not self.supervisor.failing_us(WATCH_TASK_NAME):
+            self.counters.add("list_watch_stalls")
+            self.log.error("endpoint_list_watch_stalled", reason=reason)
+        self._stall_is_logged = bool(reason)
+
+    def _watch_folders(self, folders: set[Path]) -> None:
+        """Watch the folders; if that fails, changes are found by polling."""
+        try:
+            self._watcher.watch_folders(folders)
+        except Exception as error:
+            self.supervisor.record_failure_from_thread(OBSERVER_NAME, error)
 
     def _load_in_thread(self) -> LoadResult:
         """Load the files; runs on the loading thread.
@@ -239,7 +331,7 @@
             finally:
                 gc.freeze()
                 gc.enable()
-        self._watcher.watch_folders(result.watched_folders)
+        self._watch_folders(result.watched_folders)
         return result
 
     def _apply_load_result(self, result: LoadResult, is_first: bool = False) -> None:
@@ -303,7 +395,10 @@
         """Apply a change to the front, log it, and save the list."""
         if not change:
             return
+        was_behind = self._front_is_behind
+        self._front_is_behind = True  # if the next line raises
         self._apply_to_front(change)
+        self._front_is_behind = was_behind
         self.counters.add("list_changes")
         updated = [after for _, after in change.changed]
         file_list = self.membership.file_list
@@ -318,6 +413,9 @@
             suppressed=_abbreviated(active.id for active in (*change.added, *updated) if active.suppressed),
             load_ms=load_ms,
         )
+        self._save_list()
+
+    def _save_list(self) -> None:
         store = self._snapshot_store
         if store is None or self.membership.file_list_origin != "files":
             return
--- a/umberlead/membership/snapshot_store.py
+++ b/umberlead/membership/snapshot_store.py
@@ -7,11 +7,13 @@
 from typing import Any
 
 from umberlead.common.counters import Counters
+from umberlead.common.supervision import Supervisor, describe_error
 from umberlead.membership import snapshot
 from umberlead.membership.model import CheckedList
 
 SAVE_INTERVAL_SECONDS = 0.2
 SAVE_RETRY_SECONDS = 5.0
+TASK_NAME = "list_snapshot"  # under which the saving is supervised
 
 
 class SnapshotStore:
@@ -31,6 +33,7 @@
         counters: Counters,
         log: Any,
         latest_list: Callable[[], CheckedList | None],
+        supervisor: Supervisor,
     ) -> None:
         """Create the store; nothing is read or written yet.
 
@@ -40,6 +43,7 @@
             counters: Counters of saves, of failed saves and of snapshots that could not be read.
             log: The process's log.
             latest_list: Returns the list to save.
+            supervisor: Runs the task that saves, and reports unexpected errors.
         """
         self.path = path
         self.restore_error = ""
@@ -47,6 +51,7 @@
         self._counters = counters
         self._log = log
         self._latest_list = latest_list
+        self._supervisor = supervisor
         self._saved_digest = ""
         self._executor = ThreadPoolExecutor(1, "list-save")
         self._task: asyncio.Task[None] | None = None
@@ -55,11 +60,15 @@
         """Return the list of the snapshot; None if there is no usable one."""
         try:
             saved = snapshot.read_snapshot(self.path)
-        except (snapshot.SnapshotDamagedError, OSError) as error:
+        except (ValueError, OSError) as error:  # SnapshotDamagedError is a ValueError
             self._counters.add("list_snapshots_damaged")
             self._log.error("endpoint_list_snapshot_damaged", path=str(self.path), error=str(error))
             self.restore_error = f"{self.path}: {error}"
             return None
+        except Exception as error:  # A front can start without the snapshot.
+            self._supervisor.record_failure(TASK_NAME, error)
+            self.restore_error = f"{self.path}: {describe_error(error)}"
+            return None
         if saved is None:
             return None
         self._saved_digest = saved.checked_list.digest
@@ -82,33 +91,31 @@
             self._saved_digest = checked_list.digest
         except OSError as error:
             self._record_error(error)
+        except Exception as error:  # A front serves without the snapshot, too.
+            self._supervisor.record_failure(TASK_NAME, error)
 
     def save_in_background(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start saving the latest list, unless a save is already running, which will include it."""
-        if self._task is None:
-            self._task = loop.create_task(self._save_latest(loop))
+        if self._task is None or self._task.done():
+            self._task = self._supervisor.start_task(TASK_NAME, lambda: self._save_latest(loop))
 
     async def _save_latest(self, loop: asyncio.AbstractEventLoop) -> None:
         """Save until the snapshot has the latest list.
 
         Only the latest list is saved and not each one, so that a burst of changes causes a few writes.
         """
-        try:
-            while (checked_list := self.unsaved_list()) is not None:
-                saved_us = self._clock()
-                try:
-                    await loop.run_in_executor(
-                        self._executor, _write_snapshot, self.path, checked_list, saved_us
-                    )
-                except OSError as error:
-                    self._record_error(error)
-                    await asyncio.sleep(SAVE_RETRY_SECONDS)
-                else:
-                    self._saved_digest = checked_list.digest
-                    self._counters.add("list_snapshots_saved")
-                    await asyncio.sleep(SAVE_INTERVAL_SECONDS)
-        finally:
-            self._task = None
+        while (checked_list := self.unsaved_list()) is not None:
+            saved_us = self._clock()
+            try:
+                await loop.run_in_executor(self._executor, _write_snapshot, self.path, checked_list, saved_us)
+            except OSError as error:
+                self._record_error(error)
+                await asyncio.sleep(SAVE_RETRY_SECONDS)
+            else:
+                self._saved_digest = checked_list.digest
+                self._counters.add("list_snapshots_saved")
+                self._supervisor.record_success(TASK_NAME)
+                await asyncio.sleep(SAVE_INTERVAL_SECONDS)
 
     def _record_error(self, error: OSError) -> None:
         self._counters.add("list_snapshots_failed")
@@ -118,12 +125,7 @@
         """Save the latest list before returning, and stop the thread."""
         if self._task is not None:
             self._task.cancel()
-        checked_list = self.unsaved_list()
-        if checked_list is not None:
-            try:
-                _write_snapshot(self.path, checked_list, self._clock())
-            except OSError as error:
-                self._log.error("endpoint_list_snapshot_failed", error=str(error))
+        self.save_now()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
 
--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -9,6 +9,7 @@
 from umberlead.common.timer_wheel import Timer, TimerWheel
 from umberlead.configuration import Address, DiscoveryMessage, parse_discovery_message
 from umberlead.net.watch_stream import WatchStream
+from umberlead.recovery.backoff import LAST_WINDOW_US
 from umberlead.recovery.discovery_pacing import UNKNOWN_RESPONSE_TIMEOUT_US, WatchPacing
 
 
@@ -80,6 +81,7 @@
         stream = WatchStream(self)
         self.stream = stream
         self.dial_task = self.loop.create_task(self._dial(stream))
+        self.dial_task.add_done_callback(self._report_dial)
         self.arm_silence_timer(stream)
 
     def arm_silence_timer(self, stream: WatchStream) -> None:
@@ -95,6 +97,28 @@
             await self.loop.create_connection(lambda: stream, *self.address)
         except OSError:
             stream.end("refused")
+        except Exception:
+            stream.end("failed")
+            raise  # reported by the event loop
+
+    def _report_dial(self, task: "asyncio.Task[None]") -> None:
+        """Report an unexpected error of a dial, which nobody waits for."""
+        if not task.cancelled() and (error := task.exception()) is not None:
+            message = "the dial to discovery failed"
+            self.loop.call_exception_handler({"message": message, "exception": error})
+
+    def restore_timers(self) -> None:
+        """Start again what an unexpected error has ended: the next call, or the check of a silence."""
+        if self.closed:
+            return
+        stream = self.stream
+        if stream is None or stream.ended:
+            if self.retry_timer is None or self.retry_timer.callback is None:
+                self.counters.add("discovery_restarts")
+                self.retry_timer = self.wheel.call_after(LAST_WINDOW_US, self.open)
+        elif stream.silence_timer is None or stream.silence_timer.callback is None:
+            self.counters.add("discovery_restarts")
+            self.arm_silence_timer(stream)
 
     def _check_silence(self, stream: WatchStream) -> None:
         """Abandon a silent stream: a network partition gives no other sign."""
@@ -148,8 +172,8 @@
         self.first_list_received.set()
         self.counters.add("discovery_updates")
         self.pacing.record_list(stream.call)
-        self.list_index = message.index
         self.on_message(message)
+        self.list_index = message.index  # only now: a change that could not be applied is asked for again
         self._report_agent(stream)
         return True
 
--- a/umberlead/net/listener.py
+++ b/umberlead/net/listener.py
@@ -87,6 +87,19 @@
         return self.clients.count + self.pending_count() - self.clients.max_connections
 
     def _accept_batch(self) -> None:
+        """Accept one batch from the backlog; after an unexpected error, accepting is paused for a moment."""
+        try:
+            self._accept_available()
+        except Exception as error:
+            self._report(error, "connections could not be accepted")
+            self.loop.call_later(ACCEPT_RETRY_SECONDS, self.resume)
+            self._pause()
+
+    def _report(self, error: BaseException, message: str) -> None:
+        """Report an unexpected error, which doesn't end the listener."""
+        self.loop.call_exception_handler({"message": message, "exception": error})
+
+    def _accept_available(self) -> None:
         """Accept one batch from the backlog; established connections are read between batches."""
         clients = self.clients
         if self._excess_count() >= 0:
@@ -143,8 +156,11 @@
     def _connected(self, task: "asyncio.Task[Any]") -> None:
         del self.accept_tasks[task]
         self.accepting_count -= 1
-        if not task.cancelled() and task.exception() is not None:  # the client has disconnected already
-            self.clients.counters.add("accepts_failed")
+        if task.cancelled() or (error := task.exception()) is None:
+            return
+        self.clients.counters.add("accepts_failed")
+        if not isinstance(error, OSError):  # else the client has disconnected already
+            self._report(error, "a connection could not be set up")
 
     def _record_backlog(self) -> None:
         self._backlog_since_us = self._backlog_since_us or self.clients.clock()
@@ -198,4 +214,8 @@
 
     def _retry_backlog(self) -> None:
         self.accepting_count -= 1
-        self._accept_backlog()
+        try:
+            self._accept_backlog()
+        except Exception as error:
+            self._report(error, "the backlog could not be accepted")
+            self.socket.close()
--- a/umberlead/net/watch_stream.py
+++ b/umberlead/net/watch_stream.py
@@ -94,6 +94,10 @@
         self.watch.pacing.record_activity(self.call, self.watch.clock())
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:  # an error of this program, not of the service
+            message = "a message of discovery could not be applied"
+            asyncio.get_running_loop().call_exception_handler({"message": message, "exception": error})
+            self.end("failed")
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.end("malformed")
         partial = not self.call.status or bool(self.object_lines or self.partial_line.strip())
--- a/umberlead/requests/decision_loop.py
+++ b/umberlead/requests/decision_loop.py
@@ -12,6 +12,9 @@
 from umberlead.scheduling.events import Event, TimerExpired
 from umberlead.scheduling.scheduler import Scheduler
 
+DECISION_RETRY_DELAY_US = 10_000  # from an error of the scheduler to its next call
+RETRY_LABEL = "retry"  # of the timer for that call
+
 RequestAction = Send | Reject | Fail | Cancel
 
 
@@ -71,18 +74,27 @@
         except Exception:  # open requests are still answered at their deadlines
             self._counters.add("module_errors")
             self._log("module_error", trace=traceback.format_exc())
+            # The scheduler still has the events after the failed one, and its own timers.
+            self._wheel.call_at(now_us + DECISION_RETRY_DELAY_US, self.post, TimerExpired(RETRY_LABEL))
             return
         if self.action_observer is not None:
             self.action_observer(now_us, actions)
         # All requests are looked up before any action is carried out. An action may reveal that its client
         # has disconnected, which closes the client's other requests, but each Send must get an outcome.
         for action, request in [(action, self._request_of(action)) for action in actions]:
-            if isinstance(action, SetTimer):
-                self._wheel.call_at(now_us + action.delay_us, self.post, TimerExpired(action.label))
-            elif isinstance(action, LogNote):
-                self._log("module_note", text=action.text)
-            elif isinstance(action, RequestAction) and request is not None:
-                self._carry_out(request, action)
+            try:
+                self._perform(action, request, now_us)
+            except Exception:  # the other actions must be carried out, above all the timer of the scheduler
+                self._counters.add("module_errors")
+                self._log("module_error", trace=traceback.format_exc())
+
+    def _perform(self, action: Action, request: InFlightRequest | None, now_us: int) -> None:
+        if isinstance(action, SetTimer):
+            self._wheel.call_at(now_us + action.delay_us, self.post, TimerExpired(action.label))
+        elif isinstance(action, LogNote):
+            self._log("module_note", text=action.text)
+        elif isinstance(action, RequestAction) and request is not None:
+            self._carry_out(request, action)
 
     def _request_of(self, action: Action) -> InFlightRequest | None:
         return self._open_requests.find(action.request_id) if isinstance(action, RequestAction) else None
--- a/umberlead/scheduling/scheduler.py
+++ b/umberlead/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 
 import heapq
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from itertools import count
 
@@ -94,6 +95,7 @@
         self.load_shedder = LoadShedder()
         self.open_request_count = 0
         self._timers: list[Timer] = []
+        self._unhandled_events: deque[Event] = deque()
         self._timer_due_us = 0  # of the latest `SetTimer`
         self._sequence_numbers = count()
         self._shards_to_dispatch: dict[int, None] = {}
@@ -102,10 +104,14 @@
         self._schedule(now_us + VOLUME_RETENTION_US, self._prune)
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
-        """Handle a batch of events that occur at `now_us`; return the actions to carry out, in order."""
+        """Handle a batch of events that occur at `now_us`; return the actions to carry out, in order.
+
+        If handling an event raises, the next call handles those after it, and returns all actions so far.
+        """
         self.now_us = now_us
-        for event in events:
-            self._handle_event(event)
+        self._unhandled_events.extend(events)
+        while self._unhandled_events:
+            self._handle_event(self._unhandled_events.popleft())
         while self._timers and self._timers[0][0] <= now_us:
             _, _, callback, arguments = heapq.heappop(self._timers)
             callback(*arguments)
@@ -151,17 +157,17 @@
             self._actions.append(SetTimer(self._timer_due_us - self.now_us, "due"))
 
     def _run_control_interval(self) -> None:
-        self.controller.step(self.latency_ratio_sums, self.latency_ratio_counts)
         self._schedule(self.now_us + CONTROL_INTERVAL_US, self._run_control_interval)
+        self.controller.step(self.latency_ratio_sums, self.latency_ratio_counts)
 
     def _prune(self) -> None:
         """Drop idle volumes with full buckets, old placements and old demand."""
+        self._schedule(self.now_us + VOLUME_RETENTION_US, self._prune)
         longest_timeout_us = max(cls.timeout_us for cls in self.settings.classes)
         self.rate_limits.forget_idle(self.now_us, self.now_us - VOLUME_RETENTION_US - longest_timeout_us)
         self.queues.prune(self.rate_limits)
         self.placements.rotate()
         self.directory.decay_demand()
-        self._schedule(self.now_us + VOLUME_RETENTION_US, self._prune)
 
     # Arrivals
 
--- a/umberlead/telemetry.py
+++ b/umberlead/telemetry.py
@@ -4,6 +4,7 @@
 delays the event loop. Lines that don't fit in the queue are dropped and counted.
 """
 
+import errno
 import os
 import signal
 import socket
@@ -45,6 +46,14 @@
     return "".join(allowed)[:MAX_FIELD_NAME_SIZE] or "_"
 
 
+def _field_text(value: object) -> str:
+    """Return a field's value as text; an object whose text can't be built must not lose the line."""
+    try:
+        return str(value)
+    except Exception as error:
+        return f"<{type(value).__name__}: {type(error).__name__}>"
+
+
 def _field_value(text: str) -> str:
     return text.replace("\\", "\\\\").replace('"', '\\"').replace("]", "\\]").replace("\n", " ")
 
@@ -64,7 +73,9 @@
         fields: written as structured data.
     """
     timestamp = when.astimezone(UTC).strftime("%Y-%m-%dT%H:%M:%S.%fZ")
-    data = "".join(f' {_field_name(name)}="{_field_value(str(value))}"' for name, value in fields.items())
+    data = "".join(
+        f' {_field_name(name)}="{_field_value(_field_text(value))}"' for name, value in fields.items()
+    )
     structured_data = f"[{STRUCTURED_DATA_ID}{data}]" if data else "-"
     severity = SEVERITY_BY_LEVEL.get(level, DEFAULT_SEVERITY)
     priority = FACILITY_LOCAL0 * PRIORITY_FACILITY_MULTIPLIER + severity
@@ -96,11 +107,17 @@
         self._work_available = threading.Event()
         self._stop_requested = False
         self._socket: socket.socket | None = None
+        self._start_thread()
+
+    def _start_thread(self) -> None:
         self._thread = threading.Thread(target=self._run, daemon=True, name="syslog")
         self._thread.start()
 
     def enqueue(self, line: str) -> None:
         """Queue a line, or drop it if the queue is full."""
+        if not self._thread.is_alive() and not self._stop_requested:
+            self._counters.add("log_thread_restarts")
+            self._start_thread()
         if len(self._lines) >= self.max_queued_lines:
             self._counters.add("log_lines_dropped")
             return
@@ -132,15 +149,18 @@
     def _write(self, line: str) -> bool:
         """Write a line; return False if it has to be written again."""
         try:
+            # File names and data of clients may contain what UTF-8 can't encode.
+            content = line.encode("utf-8", "backslashreplace")
             if not self._collector:
-                self._write_fully(sys.stderr.fileno(), line.encode() + b"\n")
+                if sys.stderr is None:  # It was closed when the process started.
+                    raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+                self._write_fully(sys.stderr.fileno(), content + b"\n")
                 return True
             if self._socket is None:
                 self._socket = self._connect()
-            content = line.encode()
             self._socket.sendall(b"%d %s" % (len(content), content))  # octet counting, RFC 6587
             return True
-        except OSError:
+        except (OSError, ValueError):  # ValueError: standard error is closed, or the address can't be used
             self._counters.add("log_writes_failed")
             if self._socket is not None:
                 self._socket.close()
