End the process without waiting for its threads, and name the key of a failed start

Seen: while a look-up of a name in a watched list hangs, a front that got SIGTERM answered all requests and then waited for the resolver's thread, until SIGKILL (a probe: 8 s for a look-up of 8 s). A start that failed with any OSError said `listen:`, which was not at fault beside a list with a name that is too long.

Cause: the interpreter joins all threads of executors before it exits; start.py took each OSError for one of a listener.

Change: `main` flushes its streams and leaves by os._exit, also after an unexpected error, whose traceback it prints. Listeners raise ListenError, and only that is told so.

test_process_ends_in_time_while_a_look_up_of_its_list_hangs fails before (not ended after 15 s) and passes now.

--- a/tests/test_long_lived_work.py
+++ b/tests/test_long_lived_work.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import os
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -15,7 +17,7 @@
 import pytest
 from watchdog.observers import Observer
 
-from tests.front_processes import CONFIG_TEXT, run_on_uvloop
+from tests.front_processes import CONFIG_TEXT, ROOT, run_on_uvloop
 from tests.helpers import T0, new_request, settings, up_endpoint
 from tests.list_damages import ListFolder
 from tests.test_gossip_handover import PEERS_TABLE, free_udp_port
@@ -34,6 +36,7 @@
 from umberlead.telemetry import SyslogWriter, format_rfc5424
 
 WAIT_SECONDS = 15.0
+KILL_DELAY_SECONDS = 2.7  # from SIGTERM to SIGKILL, with requests of 2 s at most
 LIST = b'{"index":1,"snapshot":true,"endpoints":[]}\n'
 
 
@@ -506,6 +509,48 @@
     run_whole(tmp_path, test)
 
 
+HANGING_LOOKUP_SCRIPT = """
+import runpy, socket, time
+real = socket.getaddrinfo
+def look_up(host, *args, **named):
+    return time.sleep(60) if host == "hangs" else real(host, *args, **named)
+socket.getaddrinfo = look_up
+runpy.run_module("umberlead", run_name="__main__")
+"""
+
+
+# Guards against a process that ends only once a look-up of its list ends, long after SIGKILL is due.
+def test_process_ends_in_time_while_a_look_up_of_its_list_hangs(tmp_path: Path) -> None:
+    async def test() -> None:
+        folder = ListFolder(tmp_path / "lists")
+        folder.path.mkdir()
+        folder.write(1, "a", "b")
+        text = CONFIG_TEXT.format(sockets=400, discovery="", endpoints="").replace("60000000", "2000000")
+        (tmp_path / "front.toml").write_text(text + '[membership]\nlist = "lists/main.list"\n')
+        with open(tmp_path / "log", "wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-B", "-c", HANGING_LOOKUP_SCRIPT],
+                cwd=ROOT,
+                stderr=log,
+                env=os.environ | {"UMBERLEAD_CONFIG": str(tmp_path / "front.toml")},
+            )
+        try:
+            read_log = (tmp_path / "log").read_text
+            await wait_until(lambda: " started " in read_log(), read_log)
+            folder.write_main("format 1", "version 2", "server c address hangs:80 shard 0")
+            await wait_until(lambda: "does not resolve" in read_log(), read_log)
+            process.terminate()
+            terminated = time.monotonic()
+            await wait_until(lambda: process.poll() is not None, read_log)
+            assert process.returncode == 0
+            assert time.monotonic() - terminated < KILL_DELAY_SECONDS
+        finally:
+            process.kill()
+            process.wait()
+
+    run_on_uvloop(test())
+
+
 # Decisions
 
 
--- a/umberlead/__main__.py
+++ b/umberlead/__main__.py
@@ -9,4 +9,4 @@
         from umberlead.commands import command
 
         command(prog_name="umberlead")
-    sys.exit(main())
+    main()
--- a/umberlead/commands/__init__.py
+++ b/umberlead/commands/__init__.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import sys
 from pathlib import Path
 
 import click
@@ -30,7 +29,7 @@
 
     if config is not None:
         os.environ["UMBERLEAD_CONFIG"] = str(config)
-    sys.exit(main())
+    main()
 
 
 command.add_command(lists, "list")
--- a/umberlead/start.py
+++ b/umberlead/start.py
@@ -10,8 +10,26 @@
 import time
 
 
-def main() -> int:
-    """Run the front that the environment describes; return 0 when it has ended, or 2 if it can't start."""
+def main() -> None:
+    """Run the front that the environment describes, and exit with 0, with 2 if it can't start, or with 1.
+
+    The process does not wait for its threads: one may hang in the resolver or in a file system for long.
+    """
+    try:
+        exit_code = _run()
+    except Exception:
+        sys.excepthook(*sys.exc_info())
+        exit_code = 1
+    import contextlib  # not before the garbage collector's threshold is set
+
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(AttributeError, OSError, ValueError):  # closed, or nobody reads it
+            stream.flush()
+    os._exit(exit_code)
+
+
+def _run() -> int:
+    """Run the front; return the exit code."""
     started_us = time.monotonic_ns() // 1000
     # Objects of imported modules live as long as the process: garbage collections during the imports cost
     # time and free nothing. The front sets its own threshold later.
@@ -26,7 +44,7 @@
     signal.signal(signal.SIGHUP, lambda number, _: early_reload_signals.append(number))
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     from umberlead import configuration
-    from umberlead.daemon.process import serve
+    from umberlead.daemon.process import ListenError, serve
     from umberlead.daemon.start_stages import StartStages
 
     stages = StartStages(started_us)
@@ -39,7 +57,10 @@
     except configuration.ConfigError as error:
         print(f"umberlead: {error}", file=sys.stderr)
         return 2
-    except OSError as error:
+    except ListenError as error:
         print(f"umberlead: listen: {error}", file=sys.stderr)
         return 2
+    except OSError as error:
+        print(f"umberlead: the front can't start: {error}", file=sys.stderr)
+        return 2
     return 0
