Play a drain, a start, a replacement and an end beside a damaged list

Real processes, for the hard case that a damage stands while a server drains, a replacement takes over, a process starts, and at SIGTERM: each is done in time, and a server that left in a version that no process read has gone from the list in force.

--- a/tests/test_list_damages.py
+++ b/tests/test_list_damages.py
@@ -13,6 +13,7 @@
 import pytest
 from click.testing import CliRunner
 
+from tests.front_processes import CONFIG_TEXT, FrontUnderLimit, call_served, run_on_uvloop, wait_until
 from tests.list_damages import DAMAGES, ListFolder, random_damage
 from tests.test_lists_watch import SilentObserver, WatchFixture, run_async
 from umberlead.commands import command
@@ -33,6 +34,8 @@
     errno.EAGAIN,
 )
 ALL_NAMES = ("a", "b", "drop")
+MAX_DESCRIPTORS = 384
+KILL_DELAY_SECONDS = 2.7  # from SIGTERM to SIGKILL, with requests of 2 s at most
 
 
 class DamageFixture(WatchFixture):
@@ -183,6 +186,57 @@
     run_async(test)
 
 
+# Guards against a drain, a start, a replacement or an end of a process that waits for a damaged list.
+@pytest.mark.parametrize("name", ["recursive pattern", "links in a circle", "main file is a pipe"])
+def test_damage_delays_no_drain_start_replacement_or_end_of_a_front(name: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        folder = ListFolder(tmp_path / "lists")
+        folder.path.mkdir()
+        folder.write(1, "a", "b")
+        processes = [start_front(tmp_path, "old")]
+        try:
+            old = processes[0]
+            await old.until("started")
+            DAMAGES[name][0](folder)
+            await old.until("endpoint_list_rejected")
+            await call_served(old.address("admin_api_listening"), "PUT /control/chunk-servers/a/offline")
+            new = start_front(tmp_path, "new")
+            processes.append(new)
+            assert (await new.until("endpoint_list_restored"))["code"] in PROBLEM_CODES
+            await new.until("started")
+            await call_served(new.address("admin_api_listening"), "GET /control/ready")
+            await end_in_time(old)
+            folder.write(2, "a")  # b left in a version that no process has read
+            await wait_until(lambda: new.logged("endpoint_list_changed")[-1]["version"] == "2")
+            assert new.logged("endpoint_list_changed")[-1]["removed"] == "b"
+            DAMAGES[name][0](folder)
+            await new.until("endpoint_list_rejected", 2)
+            await end_in_time(new)
+        finally:
+            for process in processes:
+                process.child.kill()
+                process.child.wait()
+
+    run_on_uvloop(test())
+
+
+def start_front(root: Path, name: str) -> FrontUnderLimit:
+    (root / name).mkdir()
+    text = CONFIG_TEXT.format(sockets=MAX_DESCRIPTORS, discovery="", endpoints="").replace(
+        "60000000", "2000000"
+    )
+    text += '[membership]\nlist = "../lists/main.list"\nsnapshot = "../saved"\nwithdrawn_most = 1.0\n'
+    return FrontUnderLimit(root / name, text, MAX_DESCRIPTORS)
+
+
+async def end_in_time(front: FrontUnderLimit) -> None:
+    terminated = time.monotonic()
+    front.child.terminate()
+    await wait_until(lambda: front.child.poll() is not None, front.log.read_text)
+    assert front.child.returncode == 0
+    assert time.monotonic() - terminated < KILL_DELAY_SECONDS
+
+
 def _failing(function: str, code: int) -> Callable[..., Any]:
     """Return the system call, which fails on files of the list and on all open files."""
     real = getattr(os, function)
