Report a dial to discovery that fails unexpectedly from within its task

Five tests of tests/test_race_conditions.py failed on the supervised program, as their loop makes no task to which a callback could be added. The dial now reports its own unexpected error and ends its call, so that nothing needs to look at the task. 123 tests of discovery and of crossings pass.

--- a/umberlead/net/discovery.py
+++ b/umberlead/net/discovery.py
@@ -81,7 +81,6 @@
         stream = WatchStream(self)
         self.stream = stream
         self.dial_task = self.loop.create_task(self._dial(stream))
-        self.dial_task.add_done_callback(self._report_dial)
         self.arm_silence_timer(stream)
 
     def arm_silence_timer(self, stream: WatchStream) -> None:
@@ -93,19 +92,18 @@
             stream.silence_timer = self.wheel.call_after(delay_us, self._check_silence, stream)
 
     async def _dial(self, stream: WatchStream) -> None:
+        try:
+            await self._connect(stream)
+        except Exception as error:  # nobody waits for this task
+            message = "the dial to discovery failed"
+            self.loop.call_exception_handler({"message": message, "exception": error})
+            stream.end("failed")
+
+    async def _connect(self, stream: WatchStream) -> None:
         try:
             await self.loop.create_connection(lambda: stream, *self.address)
         except OSError:
             stream.end("refused")
-        except Exception:
-            stream.end("failed")
-            raise  # reported by the event loop
-
-    def _report_dial(self, task: "asyncio.Task[None]") -> None:
-        """Report an unexpected error of a dial, which nobody waits for."""
-        if not task.cancelled() and (error := task.exception()) is not None:
-            message = "the dial to discovery failed"
-            self.loop.call_exception_handler({"message": message, "exception": error})
 
     def restore_timers(self) -> None:
         """Start again what an unexpected error has ended: the next call, or the check of a silence."""
