--- a/benchmarks/long_lists.py
+++ b/benchmarks/long_lists.py
@@ -83,7 +83,7 @@
     def take(change: Any) -> None:
         began = time.perf_counter()
         apply_change(change, engine, pool)  # type: ignore[arg-type]
-        engine._decide()
+        engine.decision_loop._decide()
         turns.append((time.perf_counter() - began) * 1000)
 
     gc.unfreeze()
